Relay callers' requests to a platform's runners, and keep their weights

Cause: the product could only serve through its own gates and lists, while the users' platform holds configuration, runners and versions itself.

What was built: the adapter in platform/, which decodes the platform's names; marigold-entry relay, with placement by expected start, waiting in order of what can be in time, refusal at once, a repeat budget and belief with an age; marigold-target companion, which copies named versions and switches its runner.

Ruled out: sending through the process beside the runner, whose link has 3.65 Mbit/s; one holder that orders loads, as each process can decide for its runner.

--- a/packages/core/src/marigold/core/exceptions.py
+++ b/packages/core/src/marigold/core/exceptions.py
@@ -69,3 +69,11 @@
 
 class LeaseLostError(MarigoldError):
     """The lease lapsed or passed to another holder."""
+
+
+class HistoryLostError(PlatformError):
+    """The store no longer knows what changed since a revision."""
+
+
+class OrderConflictError(PlatformError):
+    """The engine's state does not fit the order."""
--- a/packages/core/src/marigold/core/logging.py
+++ b/packages/core/src/marigold/core/logging.py
@@ -11,8 +11,11 @@
 
 from __future__ import annotations
 
+import os
 import sys
-from collections.abc import Mapping
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -22,6 +25,8 @@
 
 _HIDDEN = frozenset({"task_uuid", "task_level", "timestamp", "message_type", "logger"})
 _QUOTED = frozenset(' "=\n\r\t\\')
+# Bytes of lines kept for a reader that is slow: some seconds of a busy process.
+PENDING_BYTES = 256 * 1024
 
 
 class EventLogger:
@@ -36,6 +41,94 @@
         """Log one event; field values are written with `str`."""
         log_message(message_type=kind, logger=self.name, **fields)
 
+    def routine(self, kind: str, /, **fields: Any) -> None:
+        """Log an event of the usual course, which a busy process may leave out."""
+        if routine_limit.allow(kind):
+            log_message(message_type=kind, logger=self.name, **fields)
+
+
+class RoutineLimit:
+    """Bound on routine events a second; what is left out is counted by kind.
+
+    `per_second` is 0 for no bound.
+    """
+
+    __slots__ = ("_count", "_left_out", "_monotonic", "_second", "per_second")
+
+    def __init__(self, monotonic: Callable[[], float] = time.monotonic) -> None:
+        self._monotonic = monotonic
+        self._second = 0
+        self._count = 0
+        self._left_out: Counter[str] = Counter()
+        self.per_second = 0
+
+    def allow(self, kind: str) -> bool:
+        """Tell whether an event may be written now, and count it."""
+        if not self.per_second:
+            return True
+        second = int(self._monotonic())
+        if second != self._second:
+            self._second = second
+            self._count = 0
+            self._report()
+        self._count += 1
+        if self._count <= self.per_second:
+            return True
+        self._left_out[kind] += 1
+        return False
+
+    def _report(self) -> None:
+        if self._left_out:
+            left_out, self._left_out = self._left_out, Counter()
+            log_message(message_type="events_left_out", **left_out)
+
+
+routine_limit = RoutineLimit()
+
+
+class BoundedWriter:
+    """Text stream over a descriptor that never blocks.
+
+    Lines that the reader does not take are kept up to `maximum_bytes`; further
+    ones are dropped, and a line tells how many once there is room.
+    """
+
+    __slots__ = ("_dropped", "_fd", "_maximum", "_pending")
+
+    def __init__(self, fd: int, maximum_bytes: int = PENDING_BYTES) -> None:
+        os.set_blocking(fd, False)
+        self._fd = fd
+        self._maximum = maximum_bytes
+        self._pending = bytearray()
+        self._dropped = 0
+
+    def write(self, text: str) -> None:
+        """Take one line, or count it as dropped."""
+        if len(self._pending) + len(text) > self._maximum:
+            self._dropped += 1
+            return
+        if self._dropped:
+            self._pending += f"event=lines_dropped count={self._dropped}\n".encode()
+            self._dropped = 0
+        self._pending += text.encode("utf-8", "replace")
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._pending:
+            try:
+                written = os.write(self._fd, self._pending)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone; there is nobody left to tell.
+                self._pending.clear()
+                return
+            del self._pending[:written]
+
+    def close(self) -> None:
+        """Write what the reader still takes."""
+        self.flush()
+
 
 def get_logger(name: str) -> EventLogger:
     """Return the logger of a module."""
@@ -58,7 +151,11 @@
     __slots__ = ("_clock", "_prefix", "_stream")
 
     def __init__(
-        self, process: str, data_centre: str, clock: HybridClock, stream: TextIO
+        self,
+        process: str,
+        data_centre: str,
+        clock: HybridClock,
+        stream: TextIO | BoundedWriter,
     ) -> None:
         self._prefix = f"process={process} data_centre={data_centre}"
         self._clock = clock
@@ -89,3 +186,16 @@
     output = LogOutput(process, data_centre, clock, stream)
     add_destinations(output)
     return output
+
+
+def configure_bounded_logging(
+    process: str, data_centre: str, clock: HybridClock, lines: int
+) -> LogOutput:
+    """Write events to standard output, without blocking.
+
+    At most `lines` routine events a second are written.
+    """
+    routine_limit.per_second = lines
+    output = LogOutput(process, data_centre, clock, BoundedWriter(sys.stdout.fileno()))
+    add_destinations(output)
+    return output
--- /dev/null
+++ b/packages/core/src/marigold/core/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Plans for the spread of new weights, shared by both programs."""
--- a/packages/core/src/marigold/core/schema/reference.py
+++ b/packages/core/src/marigold/core/schema/reference.py
@@ -12,7 +12,12 @@
 
 import yaml
 
-PROGRAMS = {"marigold-entry": "EntrySettings", "marigold-target": "TargetSettings"}
+PROGRAMS = {
+    "marigold-entry": "EntrySettings",
+    "marigold-entry relay": "RelaySettings",
+    "marigold-target": "TargetSettings",
+    "marigold-target companion": "CompanionSettings",
+}
 HEADER = """\
 # Settings
 
--- a/packages/entry/tests/rollout_planner_tests.py
+++ b/packages/core/tests/rollout_planner_tests.py
@@ -4,7 +4,7 @@
 import unittest
 from collections import Counter
 
-from marigold.entry.rollout.planner import (
+from marigold.core.rollout.planner import (
     DIALLED_PEERS,
     MAXIMUM_OWNERS,
     PlanHost,
--- a/packages/entry/src/marigold/entry/__main__.py
+++ b/packages/entry/src/marigold/entry/__main__.py
@@ -14,6 +14,7 @@
     diff_lists,
     show_list,
 )
+from marigold.entry.commands.relay import run_relay
 from marigold.entry.commands.run import run_entry
 from marigold.entry.commands.status import show_status
 from marigold.entry.commands.timeline import show_timeline
@@ -55,6 +56,17 @@
     run_entry(settings, overrides)
 
 
+@main.command()
+@SETTINGS
+@OVERRIDES
+def relay(settings: str, overrides: tuple[str, ...]) -> None:
+    """Run an entry in front of a platform's runners until SIGTERM.
+
+    Example: marigold-entry relay relay.yaml
+    """
+    run_relay(settings, overrides)
+
+
 @main.command()
 @SETTINGS
 @OVERRIDES
--- a/packages/entry/src/marigold/entry/process.py
+++ b/packages/entry/src/marigold/entry/process.py
@@ -20,6 +20,7 @@
 from marigold.core.platform.leases import LeaseKeeper
 from marigold.core.platform.objects import ObjectClient
 from marigold.core.platform.weights import WeightClient
+from marigold.core.rollout.planner import make_planner
 from marigold.core.schema.generated.messages import Heartbeat
 from marigold.core.schema.generated.settings import EntrySettings
 from marigold.entry.admission.admission import Admission
@@ -47,7 +48,6 @@
 from marigold.entry.metrics import EntryMetrics
 from marigold.entry.rollout.holder import RolloutHolder
 from marigold.entry.rollout.manifests import ManifestCache
-from marigold.entry.rollout.planner import make_planner
 from marigold.entry.rollout.status import make_rollout_status
 from marigold.entry.routing.dispatcher import Dispatcher
 from marigold.entry.routing.isolation import SuspectIsolation
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/__init__.py
@@ -0,0 +1,6 @@
+"""Relaying of callers' requests to the runners of a platform.
+
+Decisions take what is known and the time, and do no input or output:
+`placement`, `queueing`, `repeats`, `health`, `freshness` and `floors`. The
+modules `front`, `forwarding` and `streams` carry bytes and ask them.
+"""
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/directory.py
@@ -0,0 +1,110 @@
+"""The runners that this entry may send to."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+
+from marigold.core.logging import get_logger
+from marigold.core.platform.feeds import FeedFollower
+from marigold.core.schema.generated.deployment import Runner
+from marigold.entry.relay.views import RunnerView
+
+log = get_logger(__name__)
+
+# Seconds for which an entry that lapsed while the store was away still counts:
+# live runners are listed again within about two.
+LAPSE_S = 1.8
+
+
+class RunnerDirectory:
+    """Views of the listed runners by service.
+
+    `now` readings are of the monotonic clock, as in the views.
+    """
+
+    def __init__(
+        self,
+        follower: FeedFollower[Runner],
+        data_centre: str,
+        regions: Mapping[str, str],
+        monotonic: Callable[[], float],
+        boottime: Callable[[], float],
+    ) -> None:
+        self._follower = follower
+        self._data_centre = data_centre
+        self._regions = regions
+        self._monotonic = monotonic
+        self._boottime = boottime
+        self._views: dict[str, RunnerView] = {}
+        self._by_service: dict[str, list[RunnerView]] = {}
+        follower.subscribe(self.sync)
+
+    def sync(self) -> None:
+        """Take in what the follower knows."""
+        items = self._follower.items
+        for runner in items.values():
+            self._take(runner)
+        for id, view in list(self._views.items()):
+            if id not in items:
+                self._miss(view)
+        self._arrange()
+
+    def _take(self, runner: Runner) -> None:
+        view = self._views.get(runner.id)
+        if view is not None and view.runner.started_ms == runner.started_ms:
+            if runner.is_draining and not view.runner.is_draining:
+                log.event("runner_draining", runner=runner.id, service=runner.service)
+            view.runner = runner
+            view.gone_at = None
+            return
+        is_local = runner.data_centre == self._data_centre
+        region = self._regions.get(runner.data_centre)
+        is_far = region != self._regions.get(self._data_centre)
+        self._views[runner.id] = RunnerView(runner, is_local, is_far)
+        log.event(
+            "runner_listed",
+            runner=runner.id,
+            service=runner.service,
+            address=runner.address,
+            data_centre=runner.data_centre,
+            draining=runner.is_draining,
+        )
+
+    def _miss(self, view: RunnerView) -> None:
+        if view.gone_at is not None:
+            return
+        returned_at = self._follower.returned_at
+        grace = 0.0
+        if returned_at is not None and not view.runner.is_draining:
+            grace = max(returned_at + LAPSE_S - self._boottime(), 0.0)
+        view.gone_at = self._monotonic() + grace
+        log.event("runner_missing", runner=view.id, usable_for=grace)
+
+    def _arrange(self) -> None:
+        now = self._monotonic()
+        by_service: dict[str, list[RunnerView]] = defaultdict(list)
+        for id, view in list(self._views.items()):
+            if view.gone_at is not None and now >= view.gone_at and not view.tickets:
+                del self._views[id]
+            else:
+                by_service[view.runner.service].append(view)
+        self._by_service = by_service
+
+    def get_listed(self, service: str) -> list[RunnerView]:
+        """Return the runners of a service that are not leaving or gone."""
+        now = self._monotonic()
+        return [
+            view
+            for view in self._by_service.get(service, ())
+            if not view.runner.is_draining
+            and (view.gone_at is None or now < view.gone_at)
+        ]
+
+    def find(self, id: str) -> RunnerView | None:
+        """Return the view of a runner."""
+        return self._views.get(id)
+
+    def get_engines(self) -> list[RunnerView]:
+        """Return the model engines that are not gone."""
+        return [view for view in self._views.values() if view.runner.is_engine]
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/estimates.py
@@ -0,0 +1,61 @@
+"""Expected times at a model engine, from its published cost model."""
+
+from __future__ import annotations
+
+from marigold.core.schema.generated.deployment import EngineModel
+
+# Reading of prompts lies between the steps and stretches them by about this much
+# at a busy engine: 31 ms for each of ten requests a second.
+READING_STRETCH = 1.5
+# Seconds that a plain service takes where nothing is known of it.
+PLAIN_SERVICE_S = 0.05
+
+
+def get_step(engine: EngineModel, running: float) -> float:
+    """Return the seconds of a token step at a batch size."""
+    context = running * (engine.usual_prompt + engine.usual_answer / 2)
+    return (
+        engine.step
+        + engine.step_per_request * running
+        + engine.step_per_context_token * context
+    )
+
+
+def get_reading_time(engine: EngineModel, tokens: float) -> float:
+    """Return the seconds to read a prompt."""
+    if engine.prompt_rate <= 0:
+        return 0.0
+    return tokens / engine.prompt_rate + engine.pair_cost * tokens * tokens / 2
+
+
+def get_service_time(engine: EngineModel | None, answer_tokens: float) -> float:
+    """Return the seconds from the first token to the last in a full batch."""
+    if engine is None:
+        return PLAIN_SERVICE_S
+    tokens = answer_tokens or engine.usual_answer
+    return tokens * get_step(engine, engine.slots) * READING_STRETCH
+
+
+def estimate_start(
+    engine: EngineModel | None,
+    slots: int,
+    load: float,
+    waiting_prompt: float,
+    prompt_tokens: float,
+) -> float:
+    """Return the seconds until the first part of an answer.
+
+    `load` is what the runner holds, `waiting_prompt` the prompt tokens that it
+    still has to read for it. The request waits for half a pass, for what is read
+    before it and, where the batch is full, for requests to end.
+    """
+    excess = max(load + 1 - slots, 0.0)
+    turnover = get_service_time(engine, 0) / max(slots, 1)
+    if engine is None:
+        return PLAIN_SERVICE_S + excess * turnover
+    running = min(load, slots)
+    steps = engine.steps_per_pass * get_step(engine, running)
+    reading = get_reading_time(engine, prompt_tokens)
+    reading += waiting_prompt / engine.prompt_rate if engine.prompt_rate > 0 else 0.0
+    passes = steps * (1.5 if running >= 1 else 1.0)
+    return passes + reading + excess * turnover
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/floors.py
@@ -0,0 +1,35 @@
+"""The oldest version of a model's weights that may still answer."""
+
+from __future__ import annotations
+
+# Seconds before the bound from which on only new weights are asked for: a
+# request may wait at a runner, and this entry learns of a version a little after
+# it was named.
+MARGIN_S = 0.35
+
+
+class VersionFloors:
+    """Named versions and when each becomes the floor; times are boot times."""
+
+    __slots__ = ("_bound", "_named")
+
+    def __init__(self, bound: float) -> None:
+        self._bound = bound - MARGIN_S
+        self._named: dict[str, dict[int, float]] = {}
+
+    def note(self, model: str, version: int, now: float) -> None:
+        """Take in a version that operators named just now."""
+        self._note(model, version, now + self._bound)
+
+    def note_earlier(self, model: str, version: int, due_at: float) -> None:
+        """Take in a version that was named at an unknown time before."""
+        self._note(model, version, due_at)
+
+    def _note(self, model: str, version: int, due_at: float) -> None:
+        self._named.setdefault(model, {}).setdefault(version, due_at)
+
+    def get(self, model: str, now: float) -> int | None:
+        """Return the oldest version that may answer, None for any."""
+        named = self._named.get(model, {})
+        due = [version for version, since in named.items() if now >= since]
+        return max(due, default=None)
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -0,0 +1,146 @@
+"""Sending a request to one runner."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientOSError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+from yarl import URL
+
+from marigold.core.platform.adapter import AnswerHead, Dialect, RunnerTerms
+from marigold.entry.relay.exceptions import (
+    BrokenAnswerError,
+    NotRunError,
+    NotSentError,
+)
+from marigold.entry.relay.tickets import Ticket
+from marigold.entry.relay.views import RunnerView
+
+# Seconds to open a connection; a round trip between regions takes a few
+# milliseconds, and a lost packet is sent again after one second.
+CONNECT_TIMEOUT_S = 0.4
+# Bytes of one header line of a runner.
+HEADER_BYTES = 65536
+SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+STATUS_MISDIRECTED = 421
+READ_BYTES = 65536
+
+
+class CallerRequest:
+    """What of a caller's request is sent on, unchanged."""
+
+    __slots__ = ("body", "headers", "method", "path")
+
+    def __init__(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+
+class RunnerAnswer:
+    """An answer whose head has come.
+
+    Read it with `read`, and end with `finish` or, when it is not whole, `abort`.
+    """
+
+    __slots__ = ("_resp", "head", "headers", "is_framed", "status")
+
+    def __init__(self, resp: ClientResponse, head: AnswerHead) -> None:
+        self._resp = resp
+        self.head = head
+        self.status = resp.status
+        self.headers = resp.headers
+        coding = resp.headers.get("Transfer-Encoding", "").lower()
+        self.is_framed = "Content-Length" in resp.headers or "chunked" in coding
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end.
+
+        Raise `BrokenAnswerError` when the answer ends before it is whole.
+        """
+        connection = self._resp.connection
+        protocol = None if connection is None else connection.protocol
+        try:
+            data = await self._resp.content.readany()
+        except (ClientError, OSError, asyncio.IncompleteReadError) as exc:
+            raise BrokenAnswerError(f"broke off: {exc!r}") from exc
+        if data or self.is_framed or protocol is None:
+            return data
+        # Without a length the answer ends with its connection; one that was reset
+        # is not whole, which the library does not tell apart.
+        if isinstance(protocol.exception(), ClientOSError):
+            raise BrokenAnswerError("the connection was reset")
+        return data
+
+    async def read_all(self) -> bytes:
+        """Return the whole body; raise `BrokenAnswerError`."""
+        parts = []
+        while part := await self.read():
+            parts.append(part)
+        return b"".join(parts)
+
+    def finish(self) -> None:
+        """Keep the connection for another request, where the runner lets it."""
+        self._resp.release()
+
+    def abort(self) -> None:
+        """Close the connection, so that the runner stops work."""
+        self._resp.close()
+
+
+class Forwarder:
+    """Sends requests to runners over kept connections."""
+
+    def __init__(self, session: ClientSession, dialect: Dialect) -> None:
+        self._session = session
+        self._dialect = dialect
+
+    async def send(
+        self, view: RunnerView, ticket: Ticket, req: CallerRequest, terms: RunnerTerms
+    ) -> RunnerAnswer:
+        """Send a request and return the answer once its head has come.
+
+        Raise `NotSentError`, `NotRunError` or `BrokenAnswerError`.
+        """
+        headers = self._dialect.make_runner_headers(req.headers, terms)
+        url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
+        try:
+            resp = await self._session.request(
+                req.method,
+                url,
+                headers=headers,
+                data=req.body or None,
+                allow_redirects=False,
+                skip_auto_headers=SKIPPED_HEADERS,
+                timeout=ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+                max_line_size=HEADER_BYTES,
+                max_field_size=HEADER_BYTES,
+            )
+        except (ClientConnectorError, ConnectionTimeoutError) as exc:
+            raise NotSentError(f"{view.id}: {exc!r}") from exc
+        except (ClientError, OSError, ValueError) as exc:
+            raise BrokenAnswerError(f"{view.id}: {exc!r}") from exc
+        head = self._dialect.read_answer_head(resp.status, resp.headers)
+        if head.attempt and ticket.id and head.attempt != ticket.id:
+            resp.close()
+            raise BrokenAnswerError(f"{view.id}: an answer to {head.attempt}")
+        if head.is_unrun:
+            resp.release()
+            raise NotRunError(
+                f"{view.id}: status {resp.status}",
+                resp.status,
+                resp.status == STATUS_MISDIRECTED,
+            )
+        return RunnerAnswer(resp, head)
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/front.py
@@ -0,0 +1,232 @@
+"""The HTTP front for callers, its checks and its answers."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestPayloadError
+
+from marigold.core.logging import get_logger
+from marigold.core.platform.adapter import CallerHead, Dialect
+from marigold.entry.relay.catalogue import Catalogue, choose_service
+from marigold.entry.relay.exceptions import (
+    AnswerCutError,
+    BodyTooLargeError,
+    HeadTooLargeError,
+    MalformedError,
+    NoKeyError,
+    NoRouteError,
+    NotServedError,
+    RelayError,
+)
+from marigold.entry.relay.forwarding import CallerRequest
+from marigold.entry.relay.freshness import KeyFreshness
+from marigold.entry.relay.metrics import RelayMetrics
+from marigold.entry.relay.serving import RequestServer
+from marigold.entry.relay.tickets import Ticket
+
+log = get_logger(__name__)
+
+# Retry-After of an entry that may not serve by what it knows; callers that come
+# back reach another entry.
+UNKNOWN_RETRY_S = 0.2
+
+
+class CatalogueSource:
+    """The catalogue in force and its age in seconds."""
+
+    __slots__ = ("catalogue", "get_age")
+
+    def __init__(self, get_age: Callable[[], float | None]) -> None:
+        self.catalogue: Catalogue | None = None
+        self.get_age = get_age
+
+
+class CallerFront:
+    """Answers callers' requests."""
+
+    def __init__(
+        self,
+        source: CatalogueSource,
+        freshness: KeyFreshness,
+        server: RequestServer,
+        dialect: Dialect,
+        metrics: RelayMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._source = source
+        self._freshness = freshness
+        self._server = server
+        self._dialect = dialect
+        self._metrics = metrics
+        self._rng = rng
+        self.running = 0
+        self.is_stopping = False
+        self.is_closed = False
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections are welcome."""
+        if self._source.catalogue is None or self.is_stopping:
+            return False
+        return self._freshness.may_use_key(self._source.get_age())
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        arrived_at = time.monotonic()
+        head = self._dialect.read_caller_head(http.headers)
+        self.running += 1
+        try:
+            return await self._serve(http, head, arrived_at)
+        except AnswerCutError as exc:
+            self._log_failure(head, arrived_at, exc)
+            if http.transport is not None:
+                http.transport.abort()
+            raise
+        except RelayError as exc:
+            self._log_failure(head, arrived_at, exc)
+            return self._make_error(exc)
+        finally:
+            self.running -= 1
+
+    async def _serve(
+        self, http: web.BaseRequest, head: CallerHead, arrived_at: float
+    ) -> web.StreamResponse:
+        catalogue = self._source.catalogue
+        if catalogue is None:
+            raise NotServedError("no configuration yet", UNKNOWN_RETRY_S)
+        if self.is_closed:
+            raise NotServedError("this entry is stopping", UNKNOWN_RETRY_S)
+        ticket = self._make_ticket(http, head, catalogue, arrived_at)
+        body = await _read_body(http, catalogue)
+        req = CallerRequest(http.method, http.raw_path, http.headers, body)
+        resp = await self._server.serve(
+            http, head, ticket, req, lambda: self.is_stopping
+        )
+        seconds = time.monotonic() - arrived_at
+        self._metrics.requests.add(str(resp.status), "runner")
+        self._metrics.total_time.record(seconds)
+        log.routine(
+            "request_answered",
+            request=head.attempt,
+            status=resp.status,
+            configuration=catalogue.version,
+            seconds=seconds,
+            sends=ticket.sends,
+        )
+        return resp
+
+    def _make_ticket(
+        self,
+        http: web.BaseRequest,
+        head: CallerHead,
+        catalogue: Catalogue,
+        arrived_at: float,
+    ) -> Ticket:
+        age = self._source.get_age()
+        route = catalogue.find_route(http.host, http.path)
+        if route is None:
+            self._require_deniable(age, "no route is known")
+            raise NoRouteError("no route matches host and path")
+        precedence = None
+        organisation = ""
+        if catalogue.has_keys and not route.is_public:
+            found = catalogue.find_organisation(head.key)
+            if not self._freshness.may_use_key(age):
+                raise NotServedError(
+                    f"keys were confirmed {_format_age(age)} ago", self._spread()
+                )
+            if found is None:
+                self._require_deniable(age, "the key is not known")
+                raise NoKeyError("no organisation holds this key")
+            precedence = found.precedence
+            organisation = found.name
+        _check_head(http, catalogue)
+        return Ticket(
+            head.attempt,
+            choose_service(route.services, self._rng),
+            route,
+            arrived_at,
+            head.deadline,
+            organisation,
+            precedence,
+            head.model,
+            head.prompt_tokens,
+            head.answer_tokens,
+        )
+
+    def _require_deniable(self, age: float | None, reason: str) -> None:
+        if not self._freshness.may_deny(age):
+            raise NotServedError(
+                f"{reason}, as of {_format_age(age)} ago", self._spread()
+            )
+
+    def _spread(self) -> float:
+        return UNKNOWN_RETRY_S * (1.0 + self._rng.random())
+
+    def _make_error(self, exc: RelayError) -> web.Response:
+        self._metrics.requests.add(str(exc.status), "entry")
+        self._metrics.refused.add(type(exc).__name__)
+        error = {
+            "type": type(exc).__name__,
+            "message": str(exc),
+            "executed": "no" if exc.is_unrun else "unknown",
+        }
+        headers = {"Content-Type": "application/json"}
+        if exc.retry_after is not None:
+            headers["Retry-After"] = f"{exc.retry_after:.2f}"
+        resp = web.Response(
+            status=exc.status, headers=headers, body=json.dumps({"error": error})
+        )
+        if self.is_stopping:
+            resp.force_close()
+        return resp
+
+    def _log_failure(
+        self, head: CallerHead, arrived_at: float, exc: RelayError
+    ) -> None:
+        catalogue = self._source.catalogue
+        log.event(
+            "request_failed",
+            request=head.attempt,
+            status="cut" if isinstance(exc, AnswerCutError) else exc.status,
+            kind=type(exc).__name__,
+            reason=exc,
+            configuration=None if catalogue is None else catalogue.version,
+            configuration_age=self._source.get_age(),
+            seconds=time.monotonic() - arrived_at,
+            retry_after=exc.retry_after,
+        )
+
+
+def _format_age(age: float | None) -> str:
+    return "never" if age is None else f"{age:.1f} s"
+
+
+def _check_head(http: web.BaseRequest, catalogue: Catalogue) -> None:
+    size = sum(len(name) + len(value) for name, value in http.raw_headers)
+    if size > catalogue.bounds.header_bytes:
+        raise HeadTooLargeError(f"the head has {size} bytes")
+
+
+async def _read_body(http: web.BaseRequest, catalogue: Catalogue) -> bytes:
+    """Return the whole body, so that it can be sent more than once."""
+    limit = catalogue.bounds.body_bytes
+    if (http.content_length or 0) > limit:
+        raise BodyTooLargeError(f"the body has {http.content_length} bytes")
+    if not http.body_exists:
+        return b""
+    parts = []
+    size = 0
+    try:
+        while part := await http.content.readany():
+            size += len(part)
+            if size > limit:
+                raise BodyTooLargeError(f"the body has more than {limit} bytes")
+            parts.append(part)
+    except RequestPayloadError as exc:
+        raise MalformedError(f"the body cannot be read: {exc}") from exc
+    return b"".join(parts)
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/metrics.py
@@ -0,0 +1,44 @@
+"""Metrics of a relaying entry."""
+
+from __future__ import annotations
+
+from marigold.core.metrics import Counter, Histogram, render_metrics
+
+
+class RelayMetrics:
+    """Counters and latency histograms, bounded in number."""
+
+    def __init__(self) -> None:
+        self.requests = Counter(
+            "marigold_relay_requests",
+            "Requests by status and by who gave it.",
+            ("status", "by"),
+        )
+        self.attempts_failed = Counter(
+            "marigold_relay_attempts_failed",
+            "Attempts at runners that failed, by kind.",
+            ("kind",),
+        )
+        self.refused = Counter(
+            "marigold_relay_refused", "Requests without an answer, by kind.", ("kind",)
+        )
+        self.total_time = Histogram(
+            "marigold_relay_seconds", "Time of answered requests."
+        )
+        self.head_time = Histogram(
+            "marigold_relay_head_seconds", "Time from sending to the runner's head."
+        )
+        self.first_event_time = Histogram(
+            "marigold_relay_first_event_seconds", "Time to the first event of a stream."
+        )
+
+    def render(self) -> str:
+        """Return the text form."""
+        return render_metrics(
+            self.requests,
+            self.attempts_failed,
+            self.refused,
+            self.total_time,
+            self.head_time,
+            self.first_event_time,
+        )
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/queueing.py
@@ -0,0 +1,119 @@
+"""How requests wait at an entry, and which of them are refused.
+
+Answers the load pattern in which more arrives than runners can take: requests
+that can still be in time go before those that cannot, less urgent ones never
+before more urgent ones, and what cannot be served before its caller leaves is
+refused at once. Late requests still run when there is room.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections import deque
+
+from marigold.entry.relay.tickets import Ticket
+
+# Every so many turns the oldest waiting request goes first within its
+# precedence, so that a long overload does not starve what is late.
+OLDEST_TURN = 6
+# Seconds over which the rate of starts is measured.
+RATE_WINDOW_S = 1.0
+# Seconds between which Retry-After lies; callers wait a third of their remaining
+# time at most.
+RETRY_MINIMUM_S = 0.2
+RETRY_MAXIMUM_S = 2.0
+# Retry-After is spread by this part, so that refused callers do not come at once.
+RETRY_SPREAD = 0.5
+
+
+class QueueOrder(ABC):
+    """Policy that says which waiting request is next."""
+
+    @abstractmethod
+    def pick(self, waiting: list[Ticket], expected_start: float, now: float) -> Ticket:
+        """Return one of the requests, of which there is at least one.
+
+        `expected_start` is the seconds that a start takes once it is sent.
+        """
+
+
+class ArrivalOrder(QueueOrder):
+    """Baseline: first in, first out."""
+
+    def pick(self, waiting: list[Ticket], expected_start: float, now: float) -> Ticket:
+        """Return the request that came first."""
+        return min(waiting, key=lambda ticket: ticket.arrived_at)
+
+
+class InTimeOrder(QueueOrder):
+    """Precedence, then what can be in time, then by arrival."""
+
+    __slots__ = ("_turn",)
+
+    def __init__(self) -> None:
+        self._turn = 0
+
+    def pick(self, waiting: list[Ticket], expected_start: float, now: float) -> Ticket:
+        """Return the request to start next."""
+        self._turn += 1
+        if self._turn % OLDEST_TURN == 0:
+            return min(waiting, key=lambda item: (item.precedence, item.arrived_at))
+        return min(
+            waiting,
+            key=lambda item: (
+                item.precedence,
+                now + expected_start > item.target_at,
+                item.target_at,
+            ),
+        )
+
+
+class StartRate:
+    """Starts a second at this entry while requests wait."""
+
+    __slots__ = ("_starts",)
+
+    def __init__(self) -> None:
+        self._starts: deque[float] = deque()
+
+    def note_start(self, now: float) -> None:
+        """Count a start."""
+        self._starts.append(now)
+
+    def get(self, now: float) -> float:
+        """Return the starts a second, at least one."""
+        while self._starts and self._starts[0] < now - RATE_WINDOW_S:
+            self._starts.popleft()
+        return max(len(self._starts) / RATE_WINDOW_S, 1.0)
+
+
+class Servability:
+    """Says whether a waiting request can still be served.
+
+    Example: with 30 requests ahead and 12 starts a second a stream would wait for
+    2.5 s, longer than its caller stays; it is refused when it arrives.
+    """
+
+    __slots__ = ()
+
+    def get_wait(self, ahead: int, rate: float) -> float:
+        """Return the seconds until the request is sent."""
+        return (ahead + 1) / rate
+
+    def is_servable(
+        self, ticket: Ticket, ahead: int, rate: float, expected_start: float, now: float
+    ) -> bool:
+        """Tell whether the answer can begin before the caller leaves."""
+        ready_at = now + self.get_wait(ahead, rate) + expected_start
+        return ready_at < ticket.start_by
+
+    def is_startable(self, ticket: Ticket, expected_start: float, now: float) -> bool:
+        """Tell whether the answer could begin in time if it were sent now."""
+        return now + expected_start < ticket.start_by
+
+    def get_retry_after(self, waiting: int, rate: float, rng: random.Random) -> float:
+        """Return the seconds after which there will be room, spread a little."""
+        backlog = waiting / rate
+        seconds = min(max(backlog, RETRY_MINIMUM_S), RETRY_MAXIMUM_S)
+        return seconds * (1.0 + RETRY_SPREAD * rng.random())
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/streams.py
@@ -0,0 +1,93 @@
+"""Events of a stream, cut out of the bytes of an answer."""
+
+from __future__ import annotations
+
+# Bytes of one event at most.
+MAXIMUM_EVENT_BYTES = 1 << 20
+
+
+class StreamOrderError(Exception):
+    """An event does not follow the one before it."""
+
+
+class Event:
+    """The bytes of one event, its closing blank line included, and its id."""
+
+    __slots__ = ("data", "id")
+
+    def __init__(self, data: bytes, id: int | None) -> None:
+        self.data = data
+        self.id = id
+
+
+def _read_id(data: bytes) -> int | None:
+    for line in data.splitlines():
+        name, _, value = line.partition(b":")
+        if name == b"id" and value.strip().isdigit():
+            return int(value)
+    return None
+
+
+class EventSplitter:
+    """Splits bytes into whole events; a part of an event is kept back.
+
+    Example: `splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")` returns the first event.
+    """
+
+    __slots__ = ("_buffer",)
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def has_part(self) -> bool:
+        """Tell whether a part of an event is kept back."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Return the events that are whole now."""
+        buffer = self._buffer + data
+        events = []
+        while True:
+            end = _find_end(buffer)
+            if end < 0:
+                break
+            part, buffer = buffer[:end], buffer[end:]
+            events.append(Event(part, _read_id(part)))
+        if len(buffer) > MAXIMUM_EVENT_BYTES:
+            raise StreamOrderError("an event is too large")
+        self._buffer = buffer
+        return events
+
+
+def _find_end(buffer: bytes) -> int:
+    """Return the index behind the first blank line, or -1."""
+    found = [
+        buffer.find(blank) + len(blank)
+        for blank in (b"\n\n", b"\r\n\r\n")
+        if blank in buffer
+    ]
+    return min(found, default=-1)
+
+
+class EventSequence:
+    """Checks that the ids of events go up by one, over several answers."""
+
+    __slots__ = ("_last", "_resumed")
+
+    def __init__(self, last: int | None) -> None:
+        self._last = last
+        self._resumed = False
+
+    @property
+    def last(self) -> int | None:
+        """Id of the last event that was passed on."""
+        return self._last
+
+    def take(self, event: Event) -> None:
+        """Take in the next event; raise `StreamOrderError` when one is missing."""
+        if event.id is None:
+            return
+        if self._last is not None and event.id != self._last + 1:
+            raise StreamOrderError(f"event {event.id} follows {self._last}")
+        self._last = event.id
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -0,0 +1,130 @@
+"""What an entry knows of a runner: its listing, load and health.
+
+Times are seconds of the monotonic clock.
+"""
+
+from __future__ import annotations
+
+from marigold.core.platform.adapter import LoadNote
+from marigold.core.schema.generated.deployment import Runner
+from marigold.core.schema.generated.messages import RunnerLoad
+from marigold.entry.relay.health import RunnerHealth
+from marigold.entry.relay.tickets import Ticket
+
+# Seconds for which a load note counts in full, and after which not at all; a
+# request lives for about a second.
+NOTE_FRESH_S = 0.5
+NOTE_LIFETIME_S = 2.0
+# Seconds without any byte from a runner that owes some, after which it counts as
+# silent: several passes of its engine at its slowest.
+SILENCE_S = 0.9
+
+
+class RunnerView:
+    """One incarnation of a runner as this entry sees it.
+
+    `others` is what the runner held for other entries when it last told, and
+    `others_waiting` the part of it that had not started.
+    """
+
+    __slots__ = (
+        "_noted_at",
+        "_others",
+        "_others_waiting",
+        "blocked_until",
+        "gone_at",
+        "health",
+        "heard_at",
+        "is_far",
+        "is_local",
+        "is_paused",
+        "runner",
+        "tickets",
+        "version_seen",
+    )
+
+    def __init__(self, runner: Runner, is_local: bool, is_far: bool) -> None:
+        self.runner = runner
+        self.is_local = is_local
+        self.is_far = is_far
+        self.health = RunnerHealth()
+        self.tickets: dict[Ticket, float] = {}
+        self.heard_at = 0.0
+        self.gone_at: float | None = None
+        self.blocked_until = 0.0
+        self.is_paused = False
+        self.version_seen: int | None = None
+        self._others = 0
+        self._others_waiting = 0
+        self._noted_at = -NOTE_LIFETIME_S
+
+    @property
+    def id(self) -> str:
+        """Name of the incarnation."""
+        return self.runner.id
+
+    def start(self, ticket: Ticket, now: float) -> None:
+        """Count a request that is sent to the runner."""
+        if not self.tickets:
+            self.heard_at = now
+        self.tickets[ticket] = now
+
+    def finish(self, ticket: Ticket) -> None:
+        """Count a request no more."""
+        self.tickets.pop(ticket, None)
+
+    def note_progress(self, now: float) -> None:
+        """Take in bytes of any answer."""
+        self.heard_at = now
+
+    def note_load(self, note: LoadNote, now: float) -> None:
+        """Take in the load that the runner tells."""
+        own = len(self.tickets)
+        own_waiting = sum(not ticket.is_started for ticket in self.tickets)
+        self._others = max(note.running + note.waiting - own, 0)
+        self._others_waiting = max(note.waiting - own_waiting, 0)
+        self._noted_at = now
+
+    def note_report(self, load: RunnerLoad, now: float) -> None:
+        """Take in what the companion of the runner reports."""
+        self.is_paused = load.paused
+        if load.version:
+            self.version_seen = load.version
+        self.note_load(LoadNote(load.running, load.waiting, self.runner.slots), now)
+
+    def _get_note_weight(self, now: float) -> float:
+        age = now - self._noted_at - NOTE_FRESH_S
+        return min(max(1.0 - age / (NOTE_LIFETIME_S - NOTE_FRESH_S), 0.0), 1.0)
+
+    def get_load(self, now: float) -> float:
+        """Return the estimated requests that the runner holds."""
+        return len(self.tickets) + self._others * self._get_note_weight(now)
+
+    def get_waiting_prompt(self, now: float, usual_prompt: int) -> float:
+        """Return the estimated prompt tokens that are still to be read."""
+        own = sum(
+            ticket.prompt_tokens for ticket in self.tickets if not ticket.is_started
+        )
+        others = self._others_waiting * self._get_note_weight(now)
+        return own + others * usual_prompt
+
+    def get_version(self, model: str) -> int | None:
+        """Return the version of a model that the runner is known to hold."""
+        listed = next(
+            (
+                item.version
+                for item in self.runner.held
+                if item.model == model and item.is_whole
+            ),
+            None,
+        )
+        if self.version_seen is None:
+            return listed
+        return max(listed or 0, self.version_seen)
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether the runner owes bytes and sends none."""
+        if not self.tickets:
+            return False
+        oldest = next(iter(self.tickets.values()))
+        return now - max(oldest, self.heard_at) > SILENCE_S
--- a/packages/entry/src/marigold/entry/rollout/holder.py
+++ b/packages/entry/src/marigold/entry/rollout/holder.py
@@ -17,6 +17,12 @@
 from marigold.core.logging import get_logger
 from marigold.core.platform.leases import LeaseKeeper
 from marigold.core.platform.weights import dump_manifest
+from marigold.core.rollout.planner import (
+    HostPlan,
+    PlanHost,
+    RolloutPlanner,
+    make_planner,
+)
 from marigold.core.schema.generated.messages import LoadOrder, OrderProgress
 from marigold.core.schema.generated.records import HostRecord, Manifest
 from marigold.entry.lists.compiled import CompiledLists
@@ -24,12 +30,6 @@
 from marigold.entry.membership.targets import TargetConnection
 from marigold.entry.rollout.ledger import OrderLedger, OrderRecord, make_key
 from marigold.entry.rollout.manifests import ManifestCache
-from marigold.entry.rollout.planner import (
-    HostPlan,
-    PlanHost,
-    RolloutPlanner,
-    make_planner,
-)
 from marigold.entry.rollout.wanted import WantedVersion, compute_wanted
 
 log = get_logger(__name__)
--- a/packages/standins/src/marigold/standins/bench/weights.py
+++ b/packages/standins/src/marigold/standins/bench/weights.py
@@ -14,13 +14,13 @@
 import random
 from pathlib import Path
 
-from marigold.core.schema.generated.settings import Links, WeightSettings
-from marigold.entry.rollout.planner import (
+from marigold.core.rollout.planner import (
     OriginOnlyPlanner,
     RolloutPlanner,
     SwarmPlanner,
     TreePlanner,
 )
+from marigold.core.schema.generated.settings import Links, WeightSettings
 from marigold.standins.bench.figures import Figures
 from marigold.standins.bench.weights_live import measure_live
 from marigold.standins.bench.weights_plan import measure_plans
--- a/packages/standins/src/marigold/standins/bench/weights_plan.py
+++ b/packages/standins/src/marigold/standins/bench/weights_plan.py
@@ -7,8 +7,8 @@
 from collections import Counter
 
 from marigold.core.links.codec import encode
+from marigold.core.rollout.planner import HostPlan, PlanHost, SwarmPlanner
 from marigold.core.schema.generated.messages import LoadOrder
-from marigold.entry.rollout.planner import HostPlan, PlanHost, SwarmPlanner
 from marigold.standins.bench.figures import Figures
 
 HOSTS = 2000
--- a/packages/standins/src/marigold/standins/swarm.py
+++ b/packages/standins/src/marigold/standins/swarm.py
@@ -21,9 +21,9 @@
 from marigold.core.links.identity import Identity
 from marigold.core.links.link import Link, LinkContext
 from marigold.core.links.transport import open_link, serve_links
+from marigold.core.rollout.planner import HostPlan, PlanHost, RolloutPlanner
 from marigold.core.schema.generated.messages import Heartbeat, LoadOrder
 from marigold.core.schema.generated.settings import Address, Links, WeightSettings
-from marigold.entry.rollout.planner import HostPlan, PlanHost, RolloutPlanner
 from marigold.standins.memory_weights import MemoryEngine, MemoryOrigin, WeightStore
 from marigold.standins.wires import WireMap, WireRelay
 from marigold.target.weights.download import Download
--- a/packages/target/src/marigold/target/__main__.py
+++ b/packages/target/src/marigold/target/__main__.py
@@ -6,6 +6,7 @@
 
 from marigold.core.commands import OVERRIDES, SETTINGS, UserErrorGroup
 from marigold.target.commands.check import check_settings
+from marigold.target.commands.companion import run_companion
 from marigold.target.commands.run import run_target
 
 
@@ -28,6 +29,17 @@
     run_target(settings, overrides)
 
 
+@main.command()
+@SETTINGS
+@OVERRIDES
+def companion(settings: str, overrides: tuple[str, ...]) -> None:
+    """Bring new weights to the platform's runner on this host until SIGTERM.
+
+    Example: marigold-target companion companion.yaml
+    """
+    run_companion(settings, overrides)
+
+
 @main.command()
 @SETTINGS
 @OVERRIDES
--- a/packages/target/src/marigold/target/weights/download.py
+++ b/packages/target/src/marigold/target/weights/download.py
@@ -55,6 +55,7 @@
         "completed",
         "held",
         "in_flight",
+        "is_halted",
         "manifest",
         "missing",
         "order",
@@ -74,6 +75,7 @@
         self.held: set[int] = set()
         self.missing = set(range(len(manifest.chunks)))
         self.in_flight: set[int] = set()
+        self.is_halted = False
         self.shares: list[SourceShare] = []
         self.completed = asyncio.Event()
         self.changed = asyncio.Event()
@@ -129,8 +131,11 @@
         """Return the rarest of some chunks to fetch from a source, None for none.
 
         A source with a limit is behind a thin link: it is not asked for what a
-        near peer holds, unless near peers refuse it.
+        near peer holds, unless near peers refuse it. A halted download fetches
+        nothing, but what it holds is passed on.
         """
+        if self.is_halted:
+            return None
         candidates = list(share.wanted - self.in_flight)
         if share.allowed is not None:
             candidates = [index for index in candidates if self._is_far(index)]
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -36,7 +36,7 @@
     OriginSource,
     PeerSource,
 )
-from marigold.target.weights.uploads import Uploader
+from marigold.target.weights.uploads import UploadBudget, Uploader
 
 log = get_logger(__name__)
 
@@ -63,13 +63,16 @@
         client: WeightClient,
         pacer: UploadPacer,
         rng: random.Random,
+        budget: UploadBudget | None = None,
     ) -> None:
         self._dial_peer = dial
         self._cfg = cfg
         self._client = client
         self._rng = rng
-        self._uploader = Uploader(engine, pacer, cfg.buffer_bytes)
-        self._fetcher = ChunkFetcher(engine, cfg.parallel, self._add_held, rng)
+        self._uploader = Uploader(
+            engine, pacer, cfg.buffer_bytes, budget or UploadBudget()
+        )
+        self._fetcher = ChunkFetcher(engine, cfg.parallel, self.add_held, rng)
         self._downloads: dict[str, Download] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._origins: dict[str, SourceShare] = {}
@@ -244,7 +247,8 @@
             member.download.wake()
         peer.members.clear()
 
-    def _add_held(self, download: Download, index: int) -> None:
+    def add_held(self, download: Download, index: int) -> None:
+        """Count a checked chunk as held, and tell peers."""
         download.add_held(index)
         for peer in self._peers:
             peer.announce(download.digest, index)
--- a/packages/target/src/marigold/target/weights/uploads.py
+++ b/packages/target/src/marigold/target/weights/uploads.py
@@ -20,23 +20,56 @@
 CHUNK_SENDS = 2
 
 
+class UploadBudget:
+    """How often a host sends a version in all, and each chunk at first.
+
+    Chunks go out in parts of `part_bytes`, between which live traffic has its turn.
+    The defaults suit swarms of hundreds of hosts; in one of a few hosts, the one
+    that brings a chunk in may send it to most of the others.
+    """
+
+    __slots__ = ("copies", "part_bytes", "sends")
+
+    def __init__(
+        self,
+        copies: float = UPLOAD_COPIES,
+        sends: int = CHUNK_SENDS,
+        part_bytes: int = PART_BYTES,
+    ) -> None:
+        self.copies = copies
+        self.sends = sends
+        self.part_bytes = part_bytes
+
+
 class Uploader:
     """Reads chunks back from the engine and sends them in parts.
 
     At most `buffer_bytes` of chunks are in memory at once. Each download is
-    sent `UPLOAD_COPIES` times in all, and more for chunks that were refused
+    sent as often as the budget allows, and more for chunks that were refused
     often, so that the host that has sent least takes the rest. One chunk is sent
-    `CHUNK_SENDS` times at first, so that a host that brings in new chunks can send
-    each of them.
+    a few times at first, so that a host that brings in new chunks can send each
+    of them.
     """
 
-    __slots__ = ("_buffer_bytes", "_buffered", "_engine", "_pacer", "_released")
+    __slots__ = (
+        "_budget",
+        "_buffer_bytes",
+        "_buffered",
+        "_engine",
+        "_pacer",
+        "_released",
+    )
 
     def __init__(
-        self, engine: WeightEngine, pacer: UploadPacer, buffer_bytes: int
+        self,
+        engine: WeightEngine,
+        pacer: UploadPacer,
+        buffer_bytes: int,
+        budget: UploadBudget,
     ) -> None:
         self._engine = engine
         self._pacer = pacer
+        self._budget = budget
         self._buffer_bytes = buffer_bytes
         self._buffered = 0
         self._released = asyncio.Event()
@@ -45,7 +78,7 @@
         self, peer: Peer, request: ChunkRequest, download: Download | None
     ) -> None:
         """Send a chunk, or an empty answer; raise `LinkClosedError`."""
-        if download is None or not _may_send(download, request):
+        if download is None or not self._may_send(download, request):
             await peer.send(ChunkAnswer(digest=request.digest, offset=0, data=b""))
             return
         size = download.manifest.chunk_size
@@ -74,7 +107,7 @@
     async def _send(self, peer: Peer, request: ChunkRequest, data: bytes) -> None:
         offset = 0
         while True:
-            part = data[offset : offset + PART_BYTES]
+            part = data[offset : offset + self._budget.part_bytes]
             await self._pacer.wait(len(part))
             answer = ChunkAnswer(digest=request.digest, offset=offset, data=part)
             await peer.send(answer)
@@ -82,13 +115,12 @@
             if offset >= len(data):
                 return
 
-
-def _may_send(download: Download, request: ChunkRequest) -> bool:
-    if request.index not in download.held:
-        return False
-    if download.manifest.chunks[request.index] != request.digest:
-        return False
-    if download.sent[request.index] >= CHUNK_SENDS + request.refusals:
-        return False
-    copies = UPLOAD_COPIES + COPIES_PER_REFUSAL * request.refusals
-    return download.sent_bytes < copies * download.manifest.size
+    def _may_send(self, download: Download, request: ChunkRequest) -> bool:
+        if request.index not in download.held:
+            return False
+        if download.manifest.chunks[request.index] != request.digest:
+            return False
+        if download.sent[request.index] >= self._budget.sends + request.refusals:
+            return False
+        copies = self._budget.copies + COPIES_PER_REFUSAL * request.refusals
+        return download.sent_bytes < copies * download.manifest.size
--- a/packages/target/tests/exchange_tests.py
+++ b/packages/target/tests/exchange_tests.py
@@ -5,7 +5,7 @@
 import unittest
 
 from marigold.core.schema.generated.settings import Links, WeightSettings
-from marigold.entry.rollout.planner import SwarmPlanner
+from marigold.core.rollout.planner import SwarmPlanner
 from marigold.standins.memory_weights import WeightStore
 from marigold.standins.swarm import Swarm
 from marigold.standins.wires import WireMap
