--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -100,8 +100,11 @@
     """The origin of new weights."""
 
     @abstractmethod
-    async def get_manifest(self, model: str, version: int) -> Manifest:
-        """Return the digests of a version; raise `WeightsNotFoundError`."""
+    async def get_manifest(self, model: str, version: int | None) -> Manifest:
+        """Return the digests of a version, None for the newest.
+
+        Raise `WeightsNotFoundError` or `ManifestError`.
+        """
 
     @abstractmethod
     async def get_chunk(self, manifest: Manifest, index: int, timeout: float) -> bytes:
@@ -250,11 +253,18 @@
     dialect: Dialect
 
     @abstractmethod
-    def make_configuration_feed(self, session: ClientSession) -> Feed[Configuration]:
-        """Return the feed of configurations; one object is in force."""
+    def make_configuration_feed(
+        self, session: ClientSession, is_stale: bool = False
+    ) -> Feed[Configuration]:
+        """Return the feed of configurations; one object is in force.
+
+        What a stale feed tells may be seconds old, and costs the platform less.
+        """
 
     @abstractmethod
-    def make_runner_feed(self, session: ClientSession) -> Feed[Runner]:
+    def make_runner_feed(
+        self, session: ClientSession, is_stale: bool = False
+    ) -> Feed[Runner]:
         """Return the feed of runners by id."""
 
     @abstractmethod
--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -81,21 +81,25 @@
         delay = RETRY_S
         while True:
             try:
-                await self._follow_once()
-                delay = RETRY_S
+                if await self._follow_once():
+                    delay = RETRY_S
             except HistoryLostError as exc:
                 log.event("history_lost", feed=self._feed.name, reason=exc)
                 self._needs_listing = True
+                await asyncio.sleep(delay * (0.5 + self._rng.random()))
+                delay = min(delay * 2, RETRY_MAXIMUM_S)
             except (PlatformError, TimeoutError) as exc:
                 self._note_lost(exc)
                 await asyncio.sleep(delay * (0.5 + self._rng.random()))
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
 
-    async def _follow_once(self) -> None:
+    async def _follow_once(self) -> bool:
+        """Read or watch once; tell whether the store still knows the history."""
         if self._needs_listing:
             await self._read()
-        else:
-            await self._watch()
+            return False
+        await self._watch()
+        return True
 
     async def _read(self) -> None:
         asked_at = self._clock()
--- a/packages/core/src/marigold/core/rollout/planner.py
+++ b/packages/core/src/marigold/core/rollout/planner.py
@@ -121,17 +121,16 @@
 
 
 class _Region:
-    """The hosts of one region and the regions that its chunks come from."""
+    """The hosts of one region and the region that its chunks come from."""
 
-    __slots__ = ("hosts", "live", "name", "origin_part", "owners", "parents")
+    __slots__ = ("hosts", "live", "name", "owners", "parent")
 
     def __init__(self, name: str, hosts: list[PlanHost]) -> None:
         self.name = name
         self.hosts = hosts
         self.live = [host for host in hosts if host.is_live]
         self.owners: list[PlanHost] = []
-        self.parents: list[_Region] = []
-        self.origin_part = 0.0
+        self.parent: _Region | None = None
 
     def assign_owners(self, chunks: int, seed: float) -> None:
         """Choose for each chunk the host that brings it into the region.
@@ -165,20 +164,14 @@
     With the preference `TIME` the origin feeds up to `ORIGIN_COPIES` regions,
     with `ORIGIN_BYTES` one; the other regions are fed by those in a tree that
     keeps each host's uploads within its budget. `origin_region` is the region
-    of the weight store; it is fed first. `origin_copies` is how many regions the
-    origin feeds with the preference `TIME`, the last of them in part.
+    of the weight store; it is fed first.
     """
 
     TIME = "time"
     ORIGIN_BYTES = "origin-bytes"
 
-    def __init__(
-        self,
-        preference: str,
-        origin_region: str = "",
-        origin_copies: float = ORIGIN_COPIES,
-    ) -> None:
-        self._roots = 1 if preference == self.ORIGIN_BYTES else origin_copies
+    def __init__(self, preference: str, origin_region: str = "") -> None:
+        self._roots = 1 if preference == self.ORIGIN_BYTES else ORIGIN_COPIES
         self._origin_region = origin_region
 
     def plan(
@@ -215,16 +208,11 @@
         )
 
     def _connect_regions(self, regions: list[_Region]) -> None:
-        for place, region in enumerate(regions):
-            region.origin_part = min(max(self._roots - place, 0.0), 1.0)
-        fed = [region for region in regions if region.origin_part >= 1]
-        room = {region.name: float(region.count_children()) for region in regions}
-        for region in regions[len(fed) :]:
-            # Regions with room share the work, so that none is the last to end.
-            region.parents = [item for item in fed if room[item.name] >= 1]
-            for parent in region.parents:
-                part = (1 - region.origin_part) / len(region.parents)
-                room[parent.name] -= part
+        fed = regions[: self._roots]
+        room = {region.name: region.count_children() for region in regions}
+        for region in regions[self._roots :]:
+            region.parent = next(item for item in fed if room[item.name])
+            room[region.parent.name] -= 1
             fed.append(region)
 
     def _plan_entry(
@@ -232,12 +220,10 @@
     ) -> None:
         for chunk in range(chunks):
             plan = plans[region.owners[chunk].host]
-            is_from_origin = chunk < region.origin_part * chunks
-            if is_from_origin or not region.parents:
+            if region.parent is None:
                 plan.origin_chunks.append(chunk)
             else:
-                parent = region.parents[chunk % len(region.parents)]
-                source = parent.owners[chunk].address
+                source = region.parent.owners[chunk].address
                 plan.remote.setdefault(source, []).append(chunk)
 
     def _plan_exchange(
--- a/packages/entry/src/marigold/entry/relay/desk.py
+++ b/packages/entry/src/marigold/entry/relay/desk.py
@@ -24,8 +24,9 @@
 TICK_S = 0.05
 # Seconds that a runner which states that it is full gets nothing more.
 FULL_HOLD_S = 0.1
-# Retry-After where a service has no runner at all: about what one takes to start.
-NO_RUNNER_RETRY_S = 1.0
+# Retry-After where no runner of a service can take the request, now or soon: about
+# what one takes to start, and what callers wait at most.
+NO_RUNNER_RETRY_S = 2.0
 
 
 class _Queue:
@@ -161,6 +162,20 @@
                 usable.append(view)
         return usable
 
+    def _has_prospect(self, ticket: Ticket) -> bool:
+        """Tell whether a runner may take the request, now or when it is free.
+
+        A paused runner is about to have new weights.
+        """
+        listed = self._directory.get_listed(ticket.service)
+        floor = self.get_floor(ticket)
+        if floor is None:
+            return bool(listed)
+        return any(
+            view.is_paused or (view.get_version(ticket.model) or 0) >= floor
+            for view in listed
+        )
+
     def _get_best_start(self, service: str, now: float) -> float:
         engine = self._get_engine(service)
         views = self._directory.get_listed(service)
@@ -178,8 +193,11 @@
 
     def _check_servable(self, ticket: Ticket, queue: _Queue) -> None:
         now = self._monotonic()
-        if not self._directory.get_listed(ticket.service):
-            raise NotServedError("the service has no runner", NO_RUNNER_RETRY_S)
+        if not self._has_prospect(ticket):
+            raise NotServedError(
+                f"no runner for it, of version {self.get_floor(ticket)} or newer",
+                NO_RUNNER_RETRY_S,
+            )
         ahead = sum(item.precedence <= ticket.precedence for item in queue.waiting)
         rate = queue.rate.get(now)
         start = self._get_best_start(ticket.service, now)
@@ -198,7 +216,8 @@
         now = self._monotonic()
         start = self._get_best_start(service, now)
         for ticket, fut in list(queue.waiting.items()):
-            if not self._servability.is_startable(ticket, start, now):
+            is_hopeless = not self._has_prospect(ticket)
+            if is_hopeless or not self._servability.is_startable(ticket, start, now):
                 del queue.waiting[ticket]
                 if not fut.done():
                     reason = "no runner became free in time"
--- a/packages/entry/src/marigold/entry/relay/exceptions.py
+++ b/packages/entry/src/marigold/entry/relay/exceptions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from aiohttp import web
+
 from marigold.core.exceptions import MarigoldError
 
 
@@ -75,7 +77,11 @@
 
 
 class AnswerCutError(RelayError):
-    """The answer broke after its head had gone out."""
+    """The answer `response` broke after its head had gone out."""
+
+    def __init__(self, reason: str, response: web.StreamResponse) -> None:
+        super().__init__(reason)
+        self.response = response
 
 
 class RunnerError(MarigoldError):
--- a/packages/entry/src/marigold/entry/relay/front.py
+++ b/packages/entry/src/marigold/entry/relay/front.py
@@ -85,7 +85,8 @@
             self._log_failure(head, arrived_at, exc)
             if http.transport is not None:
                 http.transport.abort()
-            raise
+            # With its connection gone, nothing more of it is sent.
+            return exc.response
         except RelayError as exc:
             self._log_failure(head, arrived_at, exc)
             return self._make_error(exc)
--- a/packages/entry/src/marigold/entry/relay/placement.py
+++ b/packages/entry/src/marigold/entry/relay/placement.py
@@ -19,14 +19,14 @@
 
 # Requests that a runner may hold beyond its slots, so that a slot which becomes
 # free is taken before the entries have heard of it.
-OVERCOMMIT = 2
+OVERCOMMIT = 1
 # Runners whose expected times differ by less are as good as each other: about
 # what one pass of an engine takes.
 TIE_S = 0.03
 # Seconds by which a runner of another data centre or region counts as later; they
 # stand for the delay of the links and for what bytes cost there.
-OTHER_CENTRE_S = 0.01
-OTHER_REGION_S = 0.02
+OTHER_CENTRE_S = 0.03
+OTHER_REGION_S = 0.06
 
 
 class Placement(ABC):
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -66,6 +66,8 @@
 # Seconds before the end of the grace at which what still runs is given up.
 STOP_MARGIN_S = 0.4
 STOP_POLL_S = 0.05
+# Seconds that the interpreter may have run before this process reads the clock.
+START_MARGIN_S = 1.5
 # Seconds for which changes of the runner list gather; a leaving runner has to be
 # known within two seconds.
 RUNNER_GATHER_S = 0.3
@@ -225,10 +227,12 @@
         ]
         log.event("relay_listens", address=cfg.callers)
         tune_collector()
-        await stop.wait()
-        await self._finish_running(site)
-        await cancel_tasks(*tasks)
-        await self._companions.stop()
+        try:
+            await stop.wait()
+            await self._finish_running(site)
+        finally:
+            await cancel_tasks(*tasks)
+            await self._companions.stop()
 
     async def _listen(
         self, stack: AsyncExitStack, server: web.Server, address: str
@@ -289,7 +293,8 @@
             if self._versions.has_watched:
                 self._floors.note(wanted.model, wanted.version, now)
             else:
-                due_at = self._started_at + self._cfg.bounds.stability_ms / 1000
+                stability = self._cfg.bounds.stability_ms / 1000
+                due_at = self._started_at + stability - START_MARGIN_S
                 self._floors.note_earlier(wanted.model, wanted.version, due_at)
 
     def _reload(self) -> None:
--- a/packages/entry/src/marigold/entry/relay/queueing.py
+++ b/packages/entry/src/marigold/entry/relay/queueing.py
@@ -3,7 +3,9 @@
 Answers the load pattern in which more arrives than runners can take: requests
 that can still be in time go before those that cannot, less urgent ones never
 before more urgent ones, and what cannot be served before its caller leaves is
-refused at once. Late requests still run when there is room.
+refused at once. Late requests still run when there is room. Among those that can
+be in time the newest goes first: in the order of arrival each would wait until it
+is just about late, and so all would be.
 """
 
 from __future__ import annotations
@@ -17,6 +19,9 @@
 # Every so many turns the oldest waiting request goes first within its
 # precedence, so that a long overload does not starve what is late.
 OLDEST_TURN = 6
+# Seconds that a start may take beyond what is expected for a request to count as
+# one that can be in time; about two passes of an engine.
+IN_TIME_MARGIN_S = 0.1
 # Seconds over which the rate of starts is measured.
 RATE_WINDOW_S = 1.0
 # Seconds between which Retry-After lies; callers wait a third of their remaining
@@ -47,7 +52,7 @@
 
 
 class InTimeOrder(QueueOrder):
-    """Precedence, then what can be in time, then by arrival."""
+    """Precedence, then what can be in time, newest first, then what is late."""
 
     __slots__ = ("_turn",)
 
@@ -59,14 +64,14 @@
         self._turn += 1
         if self._turn % OLDEST_TURN == 0:
             return min(waiting, key=lambda item: (item.precedence, item.arrived_at))
-        return min(
-            waiting,
-            key=lambda item: (
-                item.precedence,
-                now + expected_start > item.target_at,
-                item.target_at,
-            ),
-        )
+        latest = now + expected_start + IN_TIME_MARGIN_S
+        return min(waiting, key=lambda item: _get_place(item, latest))
+
+
+def _get_place(ticket: Ticket, latest: float) -> tuple[int, bool, float]:
+    is_late = latest > ticket.target_at
+    arrived_at = ticket.arrived_at if is_late else -ticket.arrived_at
+    return ticket.precedence, is_late, arrived_at
 
 
 class StartRate:
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -90,7 +90,9 @@
                 return await run.serve()
         except TimeoutError as exc:
             if run.response is not None:
-                raise AnswerCutError("the answer was not whole in time") from exc
+                raise AnswerCutError(
+                    "the answer was not whole in time", run.response
+                ) from exc
             if run.may_have_run:
                 raise AnswerLateError("no answer in time") from exc
             raise NotServedError("no runner in time", REFUSED_RETRY_S) from exc
@@ -150,7 +152,9 @@
             return await self._server._desk.acquire(self._ticket)
         except NotServedError as exc:
             if self.response is not None:
-                raise AnswerCutError(f"no runner to go on at: {exc}") from exc
+                raise AnswerCutError(
+                    f"no runner to go on at: {exc}", self.response
+                ) from exc
             if self.may_have_run:
                 raise AnswerLostError(f"no runner to repeat it at: {exc}") from exc
             raise
@@ -188,7 +192,7 @@
         elif self._may_try_again(exc):
             return
         if self.response is not None:
-            raise AnswerCutError(str(exc)) from exc
+            raise AnswerCutError(str(exc), self.response) from exc
         if self.may_have_run:
             raise AnswerLostError(str(exc)) from exc
         retry_after = REFUSED_RETRY_S * (1.0 + self._server._rng.random())
@@ -252,10 +256,17 @@
             remaining=remaining,
             organisation=ticket.organisation,
             urgency=min(urgency, MAXIMUM_URGENCY) if view.runner.is_engine else None,
-            version=self._server._desk.get_floor(ticket),
+            version=self._get_expected_version(view),
             last_event="" if last is None else str(last),
         )
 
+    def _get_expected_version(self, view: RunnerView) -> int | None:
+        """Return the version that the runner has to hold, None for any."""
+        floor = self._server._desk.get_floor(self._ticket)
+        if floor is None:
+            return None
+        return max(floor, view.get_version(self._ticket.model) or 0)
+
     async def _guard_silence(self, view: RunnerView, call):  # noqa: ANN001, ANN202
         """Await a call; give up a runner that sends nothing to anyone.
 
--- /dev/null
+++ b/packages/entry/tests/relay_placement_tests.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from relay_fakes import ENGINE, make_ticket, make_view
+
+from marigold.core.platform.adapter import LoadNote
+from marigold.entry.relay.health import AVOIDED_FROM
+from marigold.entry.relay.placement import (
+    OVERCOMMIT,
+    EarliestStartPlacement,
+    FewestOwnPlacement,
+    RandomPlacement,
+    RoundRobinPlacement,
+)
+
+
+class EarliestStartPlacementTests(unittest.TestCase):
+    def setUp(self):
+        self.placement = EarliestStartPlacement()
+        self.rng = random.Random(3)
+
+    def choose(self, views, now=10.0, ticket=None):
+        ticket = ticket or make_ticket()
+        return self.placement.choose(ticket, ENGINE, views, now, self.rng)
+
+    def test_fuller_runner_is_passed_over(self):
+        full, free = make_view("full"), make_view("free")
+        full.note_load(LoadNote(16, 1, 16), 10.0)
+        for _ in range(20):
+            self.assertIs(self.choose([full, free]), free)
+
+    def test_nothing_is_sent_where_every_runner_is_full(self):
+        views = [make_view(str(number)) for number in range(3)]
+        for view in views:
+            view.note_load(LoadNote(16, OVERCOMMIT, 16), 10.0)
+        self.assertIsNone(self.choose(views))
+
+    def test_old_note_of_a_full_runner_loses_its_weight(self):
+        view = make_view()
+        view.note_load(LoadNote(16, OVERCOMMIT, 16), 10.0)
+        self.assertIsNone(self.choose([view], now=10.1))
+        self.assertIs(self.choose([view], now=12.5), view)
+
+    def test_prompts_that_wait_to_be_read_count(self):
+        busy, free = make_view("busy"), make_view("free")
+        for number in range(4):
+            waiting = make_ticket(f"w{number}", prompt_tokens=3000)
+            busy.start(waiting, 10.0)
+            started = make_ticket(f"s{number}", prompt_tokens=3000)
+            started.is_started = True
+            free.start(started, 10.0)
+        for _ in range(20):
+            self.assertIs(self.choose([busy, free]), free)
+
+    def test_equal_runners_share_the_requests_of_entries_that_know_the_same(self):
+        views = [make_view(str(number)) for number in range(8)]
+        chosen = Counter(self.choose(views).id for _ in range(400))
+        self.assertEqual(len(chosen), 8)
+        self.assertLess(max(chosen.values()), 100)
+
+    def test_runner_of_the_own_region_goes_first_while_it_is_about_as_good(self):
+        near = make_view("near")
+        far = make_view("far", is_local=False, is_far=True)
+        for _ in range(20):
+            self.assertIs(self.choose([near, far]), near)
+        near.note_load(LoadNote(16, 1, 16), 10.0)
+        self.assertIs(self.choose([near, far]), far)
+
+    def test_failing_runner_gets_single_probes_only(self):
+        bad, good = make_view("bad"), make_view("good")
+        bad.health.note_failure(10.0, AVOIDED_FROM + 1)
+        chosen = Counter()
+        for tenth in range(10):
+            now = 10.0 + tenth / 10
+            chosen[self.choose([bad, good], now=now).id] += 1
+        self.assertLessEqual(chosen["bad"], 2)
+
+    def test_request_that_must_not_run_twice_is_no_probe(self):
+        bad, good = make_view("bad"), make_view("good")
+        bad.health.note_failure(10.0, AVOIDED_FROM + 1)
+        ticket = make_ticket()
+        ticket.route.is_idempotent = False
+        for tenth in range(10):
+            now = 10.0 + tenth / 10
+            self.assertIs(self.choose([bad, good], now=now, ticket=ticket), good)
+
+    def test_silent_runner_gets_nothing(self):
+        silent, good = make_view("silent"), make_view("good")
+        silent.start(make_ticket("old"), 10.0)
+        for _ in range(20):
+            self.assertIs(self.choose([silent, good], now=12.0), good)
+
+
+class BaselineTests(unittest.TestCase):
+    def test_baselines_know_no_bound(self):
+        view = make_view()
+        view.note_load(LoadNote(16, 30, 16), 10.0)
+        rng = random.Random(1)
+        for cls in (RoundRobinPlacement, RandomPlacement, FewestOwnPlacement):
+            with self.subTest(cls.__name__):
+                chosen = cls().choose(make_ticket(), ENGINE, [view], 10.0, rng)
+                self.assertIs(chosen, view)
--- /dev/null
+++ b/packages/entry/tests/relay_queueing_tests.py
@@ -0,0 +1,102 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from relay_fakes import make_route, make_ticket
+
+from marigold.entry.relay.queueing import (
+    OLDEST_TURN,
+    RETRY_MAXIMUM_S,
+    RETRY_SPREAD,
+    ArrivalOrder,
+    InTimeOrder,
+    Servability,
+    StartRate,
+)
+
+START_S = 0.1
+
+
+class InTimeOrderTests(unittest.TestCase):
+    def test_what_can_be_in_time_goes_before_what_is_late(self):
+        late = make_ticket("late", arrived_at=0.0)
+        fresh = make_ticket("fresh", arrived_at=0.9)
+        picked = InTimeOrder().pick([late, fresh], START_S, now=1.0)
+        self.assertIs(picked, fresh)
+
+    def test_newest_goes_first_among_those_that_can_be_in_time(self):
+        older = make_ticket("older", arrived_at=0.85)
+        newer = make_ticket("newer", arrived_at=0.95)
+        picked = InTimeOrder().pick([older, newer], START_S, now=1.0)
+        self.assertIs(picked, newer)
+
+    def test_oldest_goes_first_among_those_that_are_late(self):
+        older = make_ticket("older", arrived_at=0.1)
+        newer = make_ticket("newer", arrived_at=0.3)
+        picked = InTimeOrder().pick([newer, older], START_S, now=1.0)
+        self.assertIs(picked, older)
+
+    def test_less_urgent_never_goes_before_more_urgent(self):
+        urgent = make_ticket("urgent", arrived_at=0.0, precedence=0)
+        other = make_ticket("other", arrived_at=0.9, precedence=1)
+        order = InTimeOrder()
+        for _ in range(2 * OLDEST_TURN):
+            self.assertIs(order.pick([other, urgent], START_S, now=1.0), urgent)
+
+    def test_late_requests_have_their_turn_in_a_long_overload(self):
+        late = make_ticket("late", arrived_at=0.0)
+        order = InTimeOrder()
+        picked = []
+        for turn in range(OLDEST_TURN):
+            fresh = make_ticket(f"f{turn}", arrived_at=0.95)
+            picked.append(order.pick([late, fresh], START_S, now=1.0))
+        self.assertEqual(picked.count(late), 1)
+
+
+class ArrivalOrderTests(unittest.TestCase):
+    def test_first_in_first_out(self):
+        tickets = [make_ticket(str(at), arrived_at=at) for at in (0.3, 0.1, 0.2)]
+        picked = ArrivalOrder().pick(tickets, START_S, now=1.0)
+        self.assertEqual(picked.id, "0.1")
+
+
+class StartRateTests(unittest.TestCase):
+    def test_counts_the_starts_of_the_last_second(self):
+        rate = StartRate()
+        for tenth in range(30):
+            rate.note_start(tenth / 10)
+        self.assertAlmostEqual(rate.get(2.9), 10.0, delta=1.0)
+
+    def test_is_never_below_one(self):
+        self.assertEqual(StartRate().get(5.0), 1.0)
+
+
+class ServabilityTests(unittest.TestCase):
+    def setUp(self):
+        self.servability = Servability()
+
+    def test_request_behind_too_many_others_is_refused_when_it_arrives(self):
+        ticket = make_ticket(arrived_at=0.0)
+        self.assertFalse(self.servability.is_servable(ticket, 30, 12.0, START_S, 0.0))
+
+    def test_request_that_is_late_but_servable_waits(self):
+        ticket = make_ticket(arrived_at=0.0)
+        self.assertTrue(self.servability.is_servable(ticket, 12, 12.0, START_S, 0.0))
+
+    def test_a_caller_of_a_plain_service_stays_until_its_deadline(self):
+        route = make_route(is_stream=False, is_resumable=False, timeout=1.0)
+        ticket = make_ticket(route=route, deadline=0.9)
+        self.assertTrue(self.servability.is_startable(ticket, START_S, 0.7))
+        self.assertFalse(self.servability.is_startable(ticket, START_S, 0.85))
+
+    def test_retry_after_is_when_the_backlog_is_gone_and_spread(self):
+        rng = random.Random(1)
+        times = [self.servability.get_retry_after(12, 12.0, rng) for _ in range(50)]
+        self.assertGreaterEqual(min(times), 1.0)
+        self.assertLessEqual(max(times), 1.0 + RETRY_SPREAD)
+        self.assertGreater(max(times) - min(times), 0.2)
+
+    def test_retry_after_is_bounded(self):
+        seconds = self.servability.get_retry_after(900, 1.0, random.Random(1))
+        self.assertLessEqual(seconds, RETRY_MAXIMUM_S * (1 + RETRY_SPREAD))
--- /dev/null
+++ b/packages/entry/tests/relay_streams_tests.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import unittest
+
+from marigold.entry.relay.streams import (
+    EventSequence,
+    EventSplitter,
+    StreamOrderError,
+)
+
+
+class EventSplitterTests(unittest.TestCase):
+    def test_part_of_an_event_is_kept_back(self):
+        splitter = EventSplitter()
+        events = splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertEqual([event.id for event in events], [1])
+        self.assertTrue(splitter.has_part)
+        events = splitter.feed(b"ta: b\n\n")
+        self.assertEqual([event.data for event in events], [b"id: 2\ndata: b\n\n"])
+        self.assertFalse(splitter.has_part)
+
+    def test_bytes_are_passed_on_unchanged(self):
+        data = (
+            b"weight-versions: 2\nid: 1\ndata: a\n\n: note\n\nid: 2\r\ndata: b\r\n\r\n"
+        )
+        for size in (1, 3, 7, len(data)):
+            splitter = EventSplitter()
+            parts = [data[i : i + size] for i in range(0, len(data), size)]
+            events = [event for part in parts for event in splitter.feed(part)]
+            self.assertEqual(b"".join(event.data for event in events), data)
+
+
+class EventSequenceTests(unittest.TestCase):
+    def take(self, sequence, *numbers):
+        splitter = EventSplitter()
+        for number in numbers:
+            for event in splitter.feed(b"id: %d\ndata: x\n\n" % number):
+                sequence.take(event)
+
+    def test_resumed_stream_goes_on_with_the_next_event(self):
+        sequence = EventSequence(None)
+        self.take(sequence, 1, 2, 3)
+        self.take(sequence, 4, 5)
+        self.assertEqual(sequence.last, 5)
+
+    def test_missing_and_repeated_events_are_found(self):
+        for wrong in (3, 5, 7):
+            sequence = EventSequence(None)
+            self.take(sequence, 4, 5)
+            with self.assertRaises(StreamOrderError):
+                self.take(sequence, wrong)
+
+    def test_stream_of_a_caller_that_resumes_itself(self):
+        sequence = EventSequence(12)
+        with self.assertRaises(StreamOrderError):
+            self.take(sequence, 1)
--- a/packages/standins/src/marigold/standins/bench/__main__.py
+++ b/packages/standins/src/marigold/standins/bench/__main__.py
@@ -20,6 +20,7 @@
     "gate",
     "routing",
     "admission",
+    "load",
     "weights",
 )
 
--- /dev/null
+++ b/packages/standins/src/marigold/standins/engine_model.py
@@ -0,0 +1,128 @@
+"""A model engine without a model: slots, passes, prompts in pieces, steps.
+
+It keeps the published cost model. Times are of the running event loop:
+
+    engine = EngineReplica(cost_model)
+    job = engine.submit(prompt=900, answer=120, urgency=1)
+    await job.first.wait()
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from marigold.core.schema.generated.deployment import EngineModel
+
+# Requests that wait at an engine beyond its slots, before it states it is full.
+QUEUE_LENGTH = 32
+
+
+class EngineFullError(Exception):
+    """The engine takes no more requests; it has not run this one."""
+
+
+class Job:
+    """One request at an engine; `first` and `done` are set as it goes on."""
+
+    __slots__ = (
+        "answer",
+        "done",
+        "first",
+        "is_cancelled",
+        "prompt_left",
+        "submitted_at",
+        "urgency",
+        "written",
+    )
+
+    def __init__(self, prompt: int, answer: int, urgency: int, now: float) -> None:
+        self.prompt_left = prompt
+        self.answer = answer
+        self.urgency = urgency
+        self.submitted_at = now
+        self.written = 0
+        self.is_cancelled = False
+        self.first = asyncio.Event()
+        self.done = asyncio.Event()
+
+
+class EngineReplica:
+    """One engine; `run` serves until it is cancelled."""
+
+    def __init__(self, model: EngineModel) -> None:
+        self._model = model
+        self._waiting: list[Job] = []
+        self._running: list[Job] = []
+        self._arrived = asyncio.Event()
+        self.on_change = lambda: None
+
+    @property
+    def running(self) -> int:
+        """Requests in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a place in the batch."""
+        return len(self._waiting)
+
+    def submit(self, prompt: int, answer: int, urgency: int) -> Job:
+        """Take a request; raise `EngineFullError`."""
+        if len(self._waiting) >= QUEUE_LENGTH:
+            raise EngineFullError
+        now = asyncio.get_running_loop().time()
+        job = Job(prompt, answer, urgency, now)
+        self._waiting.append(job)
+        self._arrived.set()
+        return job
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        while True:
+            self._admit()
+            if not self._running:
+                self._arrived.clear()
+                await self._arrived.wait()
+                continue
+            await asyncio.sleep(self._make_pass())
+            self._finish_pass()
+
+    def _admit(self) -> None:
+        self._waiting = [job for job in self._waiting if not job.is_cancelled]
+        self._running = [job for job in self._running if not job.is_cancelled]
+        self._waiting.sort(key=lambda job: (job.urgency, job.submitted_at))
+        room = self._model.slots - len(self._running)
+        self._running += self._waiting[:room]
+        self._waiting = self._waiting[room:]
+
+    def _make_pass(self) -> float:
+        """Work off one pass; return the seconds that it takes."""
+        model = self._model
+        seconds = 0.0
+        for _ in range(model.steps_per_pass):
+            writing = sum(not job.prompt_left for job in self._running)
+            seconds += model.step + model.step_per_request * writing
+            seconds += self._read_prompts()
+            for job in self._running:
+                if not job.prompt_left:
+                    job.written += 1
+            if not writing:
+                break
+        return seconds
+
+    def _read_prompts(self) -> float:
+        left = self._model.prompt_chunk
+        for job in self._running:
+            tokens = min(job.prompt_left, left)
+            job.prompt_left -= tokens
+            left -= tokens
+        return (self._model.prompt_chunk - left) / self._model.prompt_rate
+
+    def _finish_pass(self) -> None:
+        for job in list(self._running):
+            if job.written:
+                job.first.set()
+            if job.written >= job.answer:
+                job.done.set()
+                self._running.remove(job)
+        self.on_change()
--- /dev/null
+++ b/packages/standins/src/marigold/standins/platform_store.py
@@ -0,0 +1,104 @@
+"""The store of the users' platform, by its published protocol.
+
+    store = PlatformStore()
+    store.put("config", "main", {...})
+    address = await store.start()
+
+`outage` makes it answer 503, and `is_silent` answer nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+
+class PlatformStore:
+    """Objects by kind and name with one revision counter."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._history: list[tuple[int, str, str, bool, dict[str, Any]]] = []
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self.revision = 1
+        self.kept_from = 0
+        self.outage = False
+        self.is_silent = False
+        self.calls = 0
+        self.address = ""
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object."""
+        self.revision += 1
+        metadata = {"Name": name, "Revision": self.revision}
+        item = {"Metadata": metadata, "Spec": spec, "Status": None}
+        self._objects.setdefault(kind, {})[name] = item
+        self._note(kind, name, False, item)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        item = self._objects[kind].pop(name)
+        self._note(kind, name, True, item)
+
+    def forget_history(self) -> None:
+        """Answer watches from before now with 410."""
+        self.kept_from = self.revision
+
+    def _note(self, kind: str, name: str, deleted: bool, item: dict[str, Any]) -> None:
+        self._history.append((self.revision, kind, name, deleted, item))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def start(self) -> str:
+        """Listen on a loopback port; return the address."""
+        app = web.Application()
+        app.router.add_get("/v1/objects/{kind}", self._list)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _list(self, req: web.Request) -> web.Response:
+        self.calls += 1
+        if self.is_silent:
+            await asyncio.sleep(3600)
+        if self.outage:
+            return web.Response(status=503)
+        kind = req.match_info["kind"]
+        if "Watch" in req.query:
+            wait = int(req.query["WaitMs"]) / 1000
+            return await self._watch(kind, int(req.query["Watch"]), wait)
+        entries = list(self._objects.get(kind, {}).values())
+        page = {"Entries": entries, "HasMore": False, "At": self.revision}
+        return web.json_response(page)
+
+    async def _watch(self, kind: str, after: int, wait: float) -> web.Response:
+        if after < self.kept_from:
+            return web.Response(status=410)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait
+        while True:
+            events = [
+                {"Deleted": deleted, "Object": item}
+                for revision, item_kind, _, deleted, item in self._history
+                if revision > after and item_kind == kind
+            ]
+            left = end - loop.time()
+            if events or left <= 0:
+                return web.json_response({"events": events, "At": self.revision})
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
--- /dev/null
+++ b/packages/standins/src/marigold/standins/scripted_runner.py
@@ -0,0 +1,150 @@
+"""A runner that answers with bytes that a test scripts.
+
+    runner = ScriptedRunner()
+    runner.script(lambda conn, req: conn.send(b"HTTP/1.1 200 OK\\r\\n..."))
+    address = await runner.start()
+
+Each request is taken by the next script, the last one for all that follow.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+
+class SeenRequest:
+    """A request as the runner got it."""
+
+    __slots__ = ("body", "headers", "method", "path")
+
+    def __init__(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+
+
+class RunnerConnection:
+    """One connection of a caller to the runner."""
+
+    __slots__ = ("_reader", "_writer")
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def answer(
+        self,
+        req: SeenRequest,
+        status: str = "200 OK",
+        body: bytes = b"done",
+        headers: str = "Response-Seal: s\r\n",
+    ) -> None:
+        """Send a whole answer with a length."""
+        head = (
+            f"HTTP/1.1 {status}\r\nAttempt-Id: {req.headers.get('attempt-id', '')}\r\n"
+            f"Content-Length: {len(body)}\r\n{headers}\r\n"
+        )
+        await self.send(head.encode() + body)
+
+    async def start_stream(self, req: SeenRequest) -> None:
+        """Send the head of a stream."""
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {req.headers.get('attempt-id', '')}\r\n"
+            "Response-Seal: s\r\nContent-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        await self.send(head.encode())
+
+    async def send_events(self, first: int, last: int) -> None:
+        """Send events of a stream, each as a chunk."""
+        for number in range(first, last + 1):
+            await self.send_chunk(b"id: %d\ndata: part %d\n\n" % (number, number))
+
+    async def send_chunk(self, data: bytes) -> None:
+        """Send one chunk; an empty one ends the answer."""
+        await self.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def close(self) -> None:
+        """Close in order."""
+        self._writer.close()
+
+    def reset(self) -> None:
+        """Close with a reset."""
+        sock = self._writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self._writer.transport.abort()
+
+    async def wait_closed(self) -> None:
+        """Wait until the other side closes."""
+        while await self._reader.read(1024):
+            pass
+
+
+Script = Callable[[RunnerConnection, SeenRequest], Awaitable[None]]
+
+
+class ScriptedRunner:
+    """Server of one runner; `requests` are those that it got."""
+
+    def __init__(self) -> None:
+        self._scripts: list[Script] = []
+        self._server: asyncio.Server | None = None
+        self.requests: list[SeenRequest] = []
+        self.address = ""
+
+    def script(self, *scripts: Script) -> None:
+        """Take the next requests by scripts."""
+        self._scripts += scripts
+
+    async def start(self) -> str:
+        """Listen on a loopback port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        conn = RunnerConnection(reader, writer)
+        try:
+            while not writer.is_closing():
+                req = await _read_request(reader)
+                self.requests.append(req)
+                take = self._scripts.pop(0) if len(self._scripts) > 1 else None
+                await (take or self._scripts[0])(conn, req)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            # The caller left, which scripts look for themselves.
+            pass
+        finally:
+            writer.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> SeenRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.strip().split("\r\n")
+    method, path, _ = first.split(" ", 2)
+    pairs = (line.split(":", 1) for line in lines)
+    headers = {name.lower(): value.strip() for name, value in pairs}
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length)
+    return SeenRequest(method, path, headers, body)
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -29,7 +29,7 @@
 from marigold.target.weights.backoff import Backoff
 from marigold.target.weights.download import Download, SourceShare
 from marigold.target.weights.engine import WeightEngine
-from marigold.target.weights.fetching import ChunkFetcher
+from marigold.target.weights.fetching import RETRY_MAXIMUM_S, ChunkFetcher
 from marigold.target.weights.pacing import UploadPacer
 from marigold.target.weights.peers import Membership, Peer
 from marigold.target.weights.sources import (
@@ -64,6 +64,7 @@
         pacer: UploadPacer,
         rng: random.Random,
         budget: UploadBudget | None = None,
+        retry_maximum: float = RETRY_MAXIMUM_S,
     ) -> None:
         self._dial_peer = dial
         self._cfg = cfg
@@ -72,7 +73,9 @@
         self._uploader = Uploader(
             engine, pacer, cfg.buffer_bytes, budget or UploadBudget()
         )
-        self._fetcher = ChunkFetcher(engine, cfg.parallel, self.add_held, rng)
+        self._fetcher = ChunkFetcher(
+            engine, cfg.parallel, self.add_held, rng, retry_maximum
+        )
         self._downloads: dict[str, Download] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._origins: dict[str, SourceShare] = {}
--- a/packages/target/src/marigold/target/weights/fetching.py
+++ b/packages/target/src/marigold/target/weights/fetching.py
@@ -27,11 +27,14 @@
 
 FAR_REQUESTS = 2
 REFUSED_MAXIMUM_S = 0.8
+RETRY_MAXIMUM_S = 5.0
 
 
 class ChunkFetcher:
     """Fetches of one host, at most `parallel` at once from near peers.
 
+    A source that gives nothing is asked again after `retry_maximum` seconds at most.
+
     `on_held` is called with each chunk that the engine has taken.
     """
 
@@ -41,10 +44,12 @@
         parallel: int,
         on_held: Callable[[Download, int], None],
         rng: random.Random,
+        retry_maximum: float = RETRY_MAXIMUM_S,
     ) -> None:
         self._engine = engine
         self._on_held = on_held
         self._rng = rng
+        self._retry_maximum = retry_maximum
         self._slots = asyncio.Semaphore(parallel)
         self._far_slots = asyncio.Semaphore(FAR_REQUESTS)
 
@@ -52,7 +57,7 @@
         self, download: Download, share: SourceShare, source: ChunkSource
     ) -> None:
         """Fetch from one source until it gives too many corrupt chunks."""
-        backoff = Backoff(self._rng)
+        backoff = Backoff(self._rng, maximum=self._retry_maximum)
         refusals = Backoff(self._rng, maximum=REFUSED_MAXIMUM_S)
         while share.corrupt < MAXIMUM_CORRUPT or source.is_origin:
             if download.pick(share) is None:
