--- a/packages/core/src/marigold/core/logs.py
+++ b/packages/core/src/marigold/core/logs.py
@@ -53,7 +53,9 @@
         line = parse_line("clock=7 process=a data_centre=b event=started port=1")
         assert line.fields == {"port": "1"}
     """
-    pairs = _parse_pairs(line.rstrip("\r\n"))
+    # What collects the lines may put its own time and the host before each.
+    start = max(line.find("clock="), 0)
+    pairs = _parse_pairs(line[start:].rstrip("\r\n"))
     if not pairs or not pairs.get("clock", "").isdecimal():
         return None
     try:
--- a/packages/core/tests/logs_tests.py
+++ b/packages/core/tests/logs_tests.py
@@ -30,3 +30,11 @@
         cases.append('clock=1 process=a data_centre=b event=cut reason="half')
         for text in cases:
             self.assertIsNone(parse_line(text), text)
+
+
+class PrefixTests(unittest.TestCase):
+    def test_time_and_host_of_a_collector_are_passed_over(self):
+        line = parse_line(
+            "  15.2151 edge-1 clock=7 process=a data_centre=b event=sent request=r"
+        )
+        self.assertEqual((line.process, line.fields), ("a", {"request": "r"}))
--- a/packages/entry/src/marigold/entry/relay/desk.py
+++ b/packages/entry/src/marigold/entry/relay/desk.py
@@ -24,6 +24,9 @@
 TICK_S = 0.05
 # Seconds that a runner which states that it is full gets nothing more.
 FULL_HOLD_S = 0.1
+# Seconds before a version becomes the floor in which runners with older weights get
+# only what they begin at once.
+COMING_S = 1.0
 # Retry-After where no runner of a service can take the request, now or soon: about
 # what one takes to start, and what callers wait at most.
 NO_RUNNER_RETRY_S = 2.0
@@ -154,11 +157,15 @@
         ]
         if not ticket.model or self._get_engine(ticket.service) is None:
             return free
-        floor = self.get_floor(ticket)
+        floor = self.get_floor(ticket) or 0
+        coming = self._floors.get(ticket.model, self._boottime() + COMING_S) or 0
         usable = []
         for view in free:
             version = view.get_version(ticket.model)
-            if version is not None and (floor is None or version >= floor):
+            if version is None or version < floor:
+                continue
+            # What waits at the runner might begin after the floor has risen.
+            if version >= coming or view.get_load(now) < view.runner.slots - 1:
                 usable.append(view)
         return usable
 
--- a/packages/entry/src/marigold/entry/relay/floors.py
+++ b/packages/entry/src/marigold/entry/relay/floors.py
@@ -5,7 +5,7 @@
 # Seconds before the bound from which on only new weights are asked for: a
 # request may wait at a runner, and this entry learns of a version a little after
 # it was named.
-MARGIN_S = 0.35
+MARGIN_S = 0.5
 
 
 class VersionFloors:
--- a/packages/standins/src/marigold/standins/demo.py
+++ b/packages/standins/src/marigold/standins/demo.py
@@ -6,8 +6,9 @@
 import statistics
 import tempfile
 import time
+from collections.abc import Awaitable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 
@@ -21,7 +22,12 @@
 )
 from marigold.standins.topology import ALAPKO, HIMAL, Topology
 
+T = TypeVar("T")
+
 REQUESTS = 60
+# Seconds between requests: the three customers of an example take turns, and the
+# smallest of them may send 20 a second.
+PAUSE_S = 0.025
 TOKENS = 16
 WEIGHT_BYTES = 8_000_000
 CHUNK_BYTES = 250_000
@@ -128,7 +134,10 @@
 
     async def _send_streams(self, version: str) -> None:
         results = await asyncio.gather(
-            *(self._send_stream(index, version) for index in range(REQUESTS))
+            *(
+                self._send_in_turn(index, self._send_stream(index, version))
+                for index in range(REQUESTS)
+            )
         )
         first = [seconds for seconds, _ in results]
         whole = [seconds for _, seconds in results]
@@ -138,6 +147,11 @@
             f"whole p50 {statistics.median(whole) * 1e3:.0f} ms"
         )
 
+    async def _send_in_turn(self, index: int, request: Awaitable[T]) -> T:
+        """Send a request within the rates of the customers' plans."""
+        await asyncio.sleep(index * PAUSE_S)
+        return await request
+
     async def _send_stream(self, index: int, version: str) -> tuple[float, float]:
         prompt = f"how deep a base for shed {index}?"
         chat = {
@@ -165,7 +179,10 @@
 
     async def _send_calls(self) -> None:
         bodies = await asyncio.gather(
-            *(self._send_call(index) for index in range(REQUESTS))
+            *(
+                self._send_in_turn(index, self._send_call(index))
+                for index in range(REQUESTS)
+            )
         )
         ran = await self._count_executions()
         click.echo(
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -45,6 +45,8 @@
 # and asking the origin for more then would only slow it further.
 RESCUE_RATIO = 3.0
 STALL_TIMEOUT_S = 2.0
+# Seconds in which links to peers are opened, from the timeout for one of them.
+LINKING_S = 1.0
 
 Dialer = Callable[[str], Awaitable[Link]]
 
@@ -52,7 +54,9 @@
 class WeightExchange:
     """The downloads of this host and its links to other targets.
 
-    `dial` opens a link to an address or raises `LinkError`.
+    `dial` opens a link to an address or raises `LinkError`. After `rescue_after`
+    seconds without any chunk more are asked of the origin; 0 takes a few times what
+    one chunk may take.
     """
 
     def __init__(
@@ -65,11 +69,13 @@
         rng: random.Random,
         budget: UploadBudget | None = None,
         retry_maximum: float = RETRY_MAXIMUM_S,
+        rescue_after: float = 0.0,
     ) -> None:
         self._dial_peer = dial
         self._cfg = cfg
         self._client = client
         self._rng = rng
+        self._rescue_after = rescue_after or RESCUE_RATIO * cfg.chunk_timeout
         self._uploader = Uploader(
             engine, pacer, cfg.buffer_bytes, budget or UploadBudget()
         )
@@ -266,6 +272,8 @@
     async def _rescue(self, download: Download, share: SourceShare) -> None:
         """Let more chunks come from the origin while nothing else comes in."""
         batch = 1
+        # Nothing can come before links to peers are open.
+        await asyncio.sleep(LINKING_S)
         while True:
             download.changed.clear()
             if await self._wait_for_change(download):
@@ -278,7 +286,7 @@
             batch *= 2
 
     async def _wait_for_change(self, download: Download) -> bool:
-        patience = RESCUE_RATIO * self._cfg.chunk_timeout * (0.5 + self._rng.random())
+        patience = self._rescue_after * (0.5 + self._rng.random())
         try:
             async with asyncio.timeout(None if download.is_complete() else patience):
                 await download.changed.wait()
--- a/tests/relay_path_tests.py
+++ b/tests/relay_path_tests.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+import socket
 import unittest
+from unittest import mock
 
 from aiohttp import ClientError, ClientSession
 
@@ -65,7 +67,6 @@
 
 
 def get_free_port():
-    import socket
 
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- a/tests/run.py
+++ b/tests/run.py
@@ -17,6 +17,7 @@
     "packages/entry/tests",
     "packages/target/tests",
     "packages/standins/tests",
+    "platform/tests",
     "tests",
 )
 PATTERN = "*_tests.py"
