--- a/tests/run.py
+++ b/tests/run.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 import unittest
 from pathlib import Path
@@ -47,6 +48,8 @@
 
 
 def main() -> int:
+    # The event loop of the tests warns of each task that a busy machine holds up.
+    logging.getLogger("asyncio").setLevel(logging.ERROR)
     known_red = load_known_red()
     suite = load_tests(sys.argv[1:])
     result = unittest.TextTestRunner(verbosity=1).run(suite)
