--- a/packages/entry/src/marigold/entry/relay/placement.py
+++ b/packages/entry/src/marigold/entry/relay/placement.py
@@ -45,8 +45,14 @@
 
 
 def has_room(view: RunnerView, now: float) -> bool:
-    """Tell whether a runner may be sent one more request."""
-    return view.get_load(now) < view.runner.slots + OVERCOMMIT
+    """Tell whether a runner may be sent one more request.
+
+    An engine that reads many prompts at once starts none of them soon and holds up
+    the answers that it writes, so each entry has one unread prompt there at most.
+    """
+    if view.get_load(now) >= view.runner.slots + OVERCOMMIT:
+        return False
+    return not view.runner.is_engine or not view.has_unread_prompt(now)
 
 
 class RoundRobinPlacement(Placement):
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from aiohttp import web
 
@@ -37,6 +38,8 @@
 
 log = get_logger(__name__)
 
+T = TypeVar("T")
+
 # Runners that a request is offered to where each could not be reached.
 UNSENT_MAXIMUM = 4
 # Seconds between looks at a runner that owes bytes.
@@ -54,7 +57,10 @@
 
 
 class RequestServer:
-    """Serves requests that have passed their checks."""
+    """Serves requests that have passed their checks.
+
+    Its attributes are what the attempts of one request need.
+    """
 
     def __init__(
         self,
@@ -66,13 +72,13 @@
         rng: random.Random,
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
-        self._desk = desk
-        self._forwarder = forwarder
-        self._dialect = dialect
-        self._repeats = repeats
-        self._metrics = metrics
-        self._rng = rng
-        self._monotonic = monotonic
+        self.desk = desk
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.repeats = repeats
+        self.metrics = metrics
+        self.rng = rng
+        self.monotonic = monotonic
 
     async def serve(
         self,
@@ -83,10 +89,10 @@
         is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
         """Answer a request; raise `RelayError` when no answer can be given."""
-        self._repeats.note_request(ticket.service, self._monotonic())
+        self.repeats.note_request(ticket.service, self.monotonic())
         run = _Run(self, http, head, ticket, req, is_closing)
         try:
-            async with asyncio.timeout(ticket.ends_at - self._monotonic()):
+            async with asyncio.timeout(ticket.ends_at - self.monotonic()):
                 return await run.serve()
         except TimeoutError as exc:
             if run.response is not None:
@@ -145,11 +151,11 @@
                 self._note_failure(view, exc)
                 self._decide_repeat(exc)
             finally:
-                server._desk.release(self._ticket, view)
+                server.desk.release(self._ticket, view)
 
     async def _acquire(self) -> RunnerView:
         try:
-            return await self._server._desk.acquire(self._ticket)
+            return await self._server.desk.acquire(self._ticket)
         except NotServedError as exc:
             if self.response is not None:
                 raise AnswerCutError(
@@ -160,9 +166,9 @@
             raise
 
     def _note_failure(self, view: RunnerView, exc: RunnerError) -> None:
-        now = self._server._monotonic()
+        now = self._server.monotonic()
         self._ticket.tried.add(view.id)
-        self._server._metrics.attempts_failed.add(type(exc).__name__)
+        self._server.metrics.attempts_failed.add(type(exc).__name__)
         log.event(
             "attempt_failed",
             request=self._ticket.id,
@@ -174,7 +180,7 @@
         )
         match exc:
             case NotRunError(is_misdirected=False):
-                self._server._desk.block(view)
+                self._server.desk.block(view)
             case NotRunError():
                 view.blocked_until = now + MISDIRECTED_HOLD_S
             case NotSentError():
@@ -195,7 +201,7 @@
             raise AnswerCutError(str(exc), self.response) from exc
         if self.may_have_run:
             raise AnswerLostError(str(exc)) from exc
-        retry_after = REFUSED_RETRY_S * (1.0 + self._server._rng.random())
+        retry_after = REFUSED_RETRY_S * (1.0 + self._server.rng.random())
         raise NotServedError(f"{ticket.service}: {exc}", retry_after) from exc
 
     def _may_try_again(self, exc: RunnerError) -> bool:
@@ -205,11 +211,11 @@
                 return False
         elif ticket.sends >= ticket.route.maximum_attempts:
             return False
-        return self._server._repeats.take(ticket.service, self._server._monotonic())
+        return self._server.repeats.take(ticket.service, self._server.monotonic())
 
     async def _attempt(self, view: RunnerView) -> web.StreamResponse:
         server, ticket = self._server, self._ticket
-        now = server._monotonic()
+        now = server.monotonic()
         remaining = ticket.ends_at - now
         if remaining < MINIMUM_REMAINING_S:
             raise TimeoutError
@@ -230,7 +236,7 @@
         had_run, self.may_have_run = self.may_have_run, True
         try:
             answer = await self._guard_silence(
-                view, server._forwarder.send(view, ticket, self._req, terms)
+                view, server.forwarder.send(view, ticket, self._req, terms)
             )
         except NotSentError:
             ticket.sends -= 1
@@ -262,12 +268,12 @@
 
     def _get_expected_version(self, view: RunnerView) -> int | None:
         """Return the version that the runner has to hold, None for any."""
-        floor = self._server._desk.get_floor(self._ticket)
+        floor = self._server.desk.get_floor(self._ticket)
         if floor is None:
             return None
         return max(floor, view.get_version(self._ticket.model) or 0)
 
-    async def _guard_silence(self, view: RunnerView, call):  # noqa: ANN001, ANN202
+    async def _guard_silence(self, view: RunnerView, call: Awaitable[T]) -> T:
         """Await a call; give up a runner that sends nothing to anyone.
 
         Only where the request may go on at another runner.
@@ -286,7 +292,7 @@
             task.cancel()
 
     def _is_given_up(self, view: RunnerView) -> bool:
-        return view.is_silent(self._server._monotonic()) and self._ticket.may_repeat()
+        return view.is_silent(self._server.monotonic()) and self._ticket.may_repeat()
 
     async def _relay(
         self, view: RunnerView, answer: RunnerAnswer
@@ -296,7 +302,7 @@
             return await self._relay_stream(view, answer)
         body = await self._guard_silence(view, answer.read_all())
         answer.finish()
-        now = self._server._monotonic()
+        now = self._server.monotonic()
         view.note_progress(now)
         if answer.status >= 500:
             view.health.note_failure(now)
@@ -310,7 +316,7 @@
             raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
         if answer.status < 300 and not answer.head.is_sealed:
             raise BrokenAnswerError(f"{view.id}: a success without a signature")
-        headers = self._server._dialect.make_caller_headers(answer.headers)
+        headers = self._server.dialect.make_caller_headers(answer.headers)
         resp = web.Response(status=answer.status, headers=headers, body=body)
         await self._send_head(resp)
         await resp.write_eof()
@@ -319,16 +325,16 @@
     def _may_replace(self, answer: RunnerAnswer) -> bool:
         """Tell whether a failure of the runner is worth another try."""
         ticket = self._ticket
-        return ticket.may_repeat() and self._server._monotonic() < ticket.target_at
+        return ticket.may_repeat() and self._server.monotonic() < ticket.target_at
 
     def _note_head(self, view: RunnerView, answer: RunnerAnswer) -> None:
-        now = self._server._monotonic()
+        now = self._server.monotonic()
         view.note_progress(now)
         if answer.head.load is not None:
             view.note_load(answer.head.load, now)
         if answer.head.version is not None:
             view.version_seen = answer.head.version
-        self._server._metrics.head_time.record(now - self._ticket.sent_at)
+        self._server.metrics.head_time.record(now - self._ticket.sent_at)
 
     async def _send_head(self, resp: web.StreamResponse) -> None:
         if self._is_closing():
@@ -344,7 +350,7 @@
         splitter = EventSplitter()
         while True:
             data = await self._guard_silence(view, answer.read())
-            view.note_progress(self._server._monotonic())
+            view.note_progress(self._server.monotonic())
             if not data:
                 break
             await self._pass_on(view, answer, splitter, data)
@@ -353,7 +359,7 @@
         if self.response is None:
             raise BrokenAnswerError(f"{view.id}: a stream without events")
         answer.finish()
-        view.health.note_success(self._server._monotonic())
+        view.health.note_success(self._server.monotonic())
         await self.response.write_eof()
         return self.response
 
@@ -376,12 +382,12 @@
             self._ticket.is_started = True
             self._note_first(view)
         if self.response is None:
-            headers = self._server._dialect.make_caller_headers(answer.headers)
+            headers = self._server.dialect.make_caller_headers(answer.headers)
             resp = web.StreamResponse(status=answer.status, headers=headers)
             resp.enable_chunked_encoding()
             await self._send_head(resp)
         await self.response.write(b"".join(event.data for event in events))
 
     def _note_first(self, view: RunnerView) -> None:
-        seconds = self._server._monotonic() - self._ticket.arrived_at
-        self._server._metrics.first_event_time.record(seconds)
+        seconds = self._server.monotonic() - self._ticket.arrived_at
+        self._server.metrics.first_event_time.record(seconds)
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -108,6 +108,12 @@
         others = self._others_waiting * self._get_note_weight(now)
         return own + others * usual_prompt
 
+    def has_unread_prompt(self, now: float) -> bool:
+        """Tell whether a request waits there for its first token."""
+        if any(not ticket.is_started for ticket in self.tickets):
+            return True
+        return self._others_waiting * self._get_note_weight(now) >= 1
+
     def get_version(self, model: str) -> int | None:
         """Return the version of a model that the runner is known to hold."""
         listed = next(
--- /dev/null
+++ b/packages/entry/tests/relay_desk_tests.py
@@ -0,0 +1,124 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from relay_fakes import ENGINE, make_ticket, make_view
+
+from marigold.core.platform.adapter import LoadNote
+from marigold.core.schema.generated.deployment import HeldModel
+from marigold.entry.relay.desk import COMING_S, PlacementDesk
+from marigold.entry.relay.exceptions import NotServedError
+from marigold.entry.relay.floors import MARGIN_S, VersionFloors
+from marigold.entry.relay.placement import EarliestStartPlacement
+from marigold.entry.relay.queueing import InTimeOrder, Servability
+
+BOUND_S = 8.0
+FULL = LoadNote(16, 1, 16)
+
+
+class FakeDirectory:
+    def __init__(self, *views):
+        self.views = list(views)
+
+    def get_listed(self, service):
+        return self.views
+
+
+class DeskTestCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.view = make_view("i1")
+        self.directory = FakeDirectory(self.view)
+        self.floors = VersionFloors(BOUND_S)
+        self.desk = PlacementDesk(
+            self.directory,
+            EarliestStartPlacement(),
+            InTimeOrder(),
+            Servability(),
+            self.floors,
+            lambda service: ENGINE,
+            random.Random(1),
+            lambda: self.now,
+            lambda: self.now,
+        )
+
+    def make_ticket(self, id="r", **changes):
+        return make_ticket(id, arrived_at=self.now, **changes)
+
+    async def wait_for(self, ticket):
+        task = asyncio.create_task(self.desk.acquire(ticket))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        return task
+
+
+class WaitingTests(DeskTestCase):
+    async def test_request_waits_for_a_full_runner_and_gets_it(self):
+        self.view.note_load(FULL, self.now)
+        task = await self.wait_for(self.make_ticket())
+        self.assertFalse(task.done())
+        self.view.note_load(LoadNote(3, 0, 16), self.now)
+        self.desk.pump("model")
+        self.assertIs(await task, self.view)
+
+    async def test_caller_that_leaves_gives_back_its_place(self):
+        self.view.note_load(FULL, self.now)
+        task = await self.wait_for(self.make_ticket())
+        self.view.note_load(LoadNote(3, 0, 16), self.now)
+        self.desk.pump("model")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(self.view.tickets, {})
+        self.assertEqual(self.desk.count_waiting(), 0)
+
+    async def test_request_that_cannot_be_served_in_time_is_refused_at_once(self):
+        self.view.note_load(FULL, self.now)
+        tasks = [await self.wait_for(self.make_ticket(str(n))) for n in range(8)]
+        refused = [task for task in tasks if task.done()]
+        self.assertTrue(refused)
+        for task in refused:
+            self.assertIsInstance(task.exception(), NotServedError)
+            self.assertGreater(task.exception().retry_after, 0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def test_service_without_runners_refuses_at_once(self):
+        self.directory.views = []
+        with self.assertRaises(NotServedError):
+            await self.desk.acquire(self.make_ticket())
+
+
+class VersionTests(DeskTestCase):
+    def setUp(self):
+        super().setUp()
+        self.floors.note("assistant", 2, self.now)
+
+    async def test_older_weights_get_nothing_once_the_floor_has_risen(self):
+        self.assertIs(await self.desk.acquire(self.make_ticket()), self.view)
+        self.now += BOUND_S - MARGIN_S
+        with self.assertRaises(NotServedError):
+            await self.desk.acquire(self.make_ticket())
+
+    async def test_just_before_older_weights_get_only_what_begins_at_once(self):
+        """Found in alapko-marigold trouble-2: two requests began after the bound."""
+        self.now += BOUND_S - MARGIN_S - COMING_S / 2
+        self.view.note_load(LoadNote(15, 0, 16), self.now)
+        task = await self.wait_for(self.make_ticket())
+        self.assertFalse(task.done())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.view.note_load(LoadNote(10, 0, 16), self.now)
+        self.assertIs(await self.desk.acquire(self.make_ticket()), self.view)
+
+    async def test_request_waits_for_a_runner_that_is_being_loaded(self):
+        self.now += BOUND_S
+        self.view.is_paused = True
+        task = await self.wait_for(self.make_ticket())
+        self.assertFalse(task.done())
+        self.view.is_paused = False
+        self.view.runner.held = [HeldModel(model="assistant", version=2)]
+        self.desk.pump("model")
+        self.assertIs(await task, self.view)
--- /dev/null
+++ b/packages/entry/tests/relay_directory_tests.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from relay_fakes import make_runner
+
+from marigold.core.platform.feeds import FeedFollower
+from marigold.entry.relay.directory import LAPSE_S, RunnerDirectory
+
+
+class DirectoryTests(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.follower = FeedFollower(None, 1.0, 1.0, random.Random(1))
+        self.directory = RunnerDirectory(
+            self.follower,
+            "gyor-a",
+            {"gyor-a": "west", "bp-a": "central"},
+            lambda: self.now,
+            lambda: self.now,
+        )
+
+    def list_runners(self, *runners):
+        self.follower.items = {runner.id: runner for runner in runners}
+        self.directory.sync()
+
+    def get_ids(self):
+        return [view.id for view in self.directory.get_listed("model")]
+
+    def test_draining_and_missing_runners_get_nothing(self):
+        self.list_runners(make_runner("i1"), make_runner("i2"), make_runner("i3"))
+        self.list_runners(make_runner("i1"), make_runner("i2", is_draining=True))
+        self.assertEqual(self.get_ids(), ["i1"])
+
+    def test_runner_that_lapsed_while_the_store_was_away_counts_for_a_moment(self):
+        self.list_runners(make_runner("i1"))
+        self.follower.returned_at = self.now
+        self.list_runners()
+        self.assertEqual(self.get_ids(), ["i1"])
+        self.now += LAPSE_S
+        self.assertEqual(self.get_ids(), [])
+
+    def test_runner_that_was_leaving_does_not(self):
+        self.list_runners(make_runner("i1", is_draining=True))
+        self.follower.returned_at = self.now
+        self.list_runners()
+        self.assertEqual(self.get_ids(), [])
+
+    def test_restart_under_the_same_id_forgets_what_was_known(self):
+        self.list_runners(make_runner("i1"))
+        self.directory.find("i1").version_seen = 7
+        self.list_runners(make_runner("i1", started_ms=2))
+        self.assertIsNone(self.directory.find("i1").version_seen)
+
+    def test_place_of_a_runner(self):
+        self.list_runners(make_runner("i1"), make_runner("i2", data_centre="bp-a"))
+        near, far = self.directory.find("i1"), self.directory.find("i2")
+        self.assertEqual((near.is_local, near.is_far), (True, False))
+        self.assertEqual((far.is_local, far.is_far), (False, True))
--- a/packages/entry/tests/relay_placement_tests.py
+++ b/packages/entry/tests/relay_placement_tests.py
@@ -55,6 +55,19 @@
         for _ in range(20):
             self.assertIs(self.choose([busy, free]), free)
 
+    def test_engine_gets_one_unread_prompt_of_an_entry(self):
+        view = make_view()
+        ticket = make_ticket("w")
+        view.start(ticket, 10.0)
+        self.assertIsNone(self.choose([view]))
+        ticket.is_started = True
+        self.assertIs(self.choose([view]), view)
+
+    def test_plain_service_takes_requests_side_by_side(self):
+        view = make_view(is_engine=False)
+        view.start(make_ticket("w"), 10.0)
+        self.assertIs(self.choose([view]), view)
+
     def test_equal_runners_share_the_requests_of_entries_that_know_the_same(self):
         views = [make_view(str(number)) for number in range(8)]
         chosen = Counter(self.choose(views).id for _ in range(400))
--- a/packages/standins/src/marigold/standins/bench/load.py
+++ b/packages/standins/src/marigold/standins/bench/load.py
@@ -51,7 +51,16 @@
 # Requests a second, and the part of them that comes from each time on.
 PEAK = 121.0
 STEPS = ((0.0, 0.55), (6.0, 0.7), (7.5, 0.85), (9.0, 1.0))
+# Peaks by pattern: that of a standard day, a burst, and more than all engines do.
+PATTERNS = {"day": PEAK, "burst": 150.0, "overload": 180.0}
 NOTE_INTERVAL_S = 0.2
+# When engines switch to new weights, the time between two of them, and the time
+# that loading takes; the requests a second of a quiet day meanwhile.
+SWITCH_AT_S = 8.0
+SWITCH_GAP_S = 0.12
+LOAD_S = 0.35
+POLL_S = 0.05
+QUIET = 98.0
 # Worth of an answer in time, and of one that is late.
 IN_TIME = 1.0
 LATE = 0.25
@@ -261,6 +270,54 @@
         self.late += not is_in_time
 
 
+class SwitchingRun(LoadRun):
+    """A replay in which all engines load new weights, one after another.
+
+    Each pauses, ends what it runs, loads, and takes requests again.
+    """
+
+    async def run(self) -> None:
+        """Replay the whole load."""
+        switching = asyncio.create_task(self._switch_all())
+        await super().run()
+        await switching
+
+    def _get_part(self) -> float:
+        return 1.0
+
+    async def _add_late(self) -> None:
+        for number in range(ENGINES, ENGINES + ADDED):
+            self._add_engine(number)
+
+    async def _switch_all(self) -> None:
+        await asyncio.sleep(SWITCH_AT_S)
+        switches = [
+            self._switch(number, number * SWITCH_GAP_S)
+            for number in range(ENGINES + ADDED)
+        ]
+        await asyncio.gather(*switches)
+
+    async def _switch(self, number: int, delay: float) -> None:
+        await asyncio.sleep(delay)
+        engine = self._engines[number]
+        self._pause(number, True)
+        while engine.running or engine.waiting:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LOAD_S)
+        self._pause(number, False)
+
+    def _pause(self, number: int, is_paused: bool) -> None:
+        for views in self._views:
+            views[number].is_paused = is_paused
+
+
+def replay_switching(policies: Policies, seed: int, peak: float) -> LoadRun:
+    """Return a finished replay in which all engines load new weights."""
+    run = SwitchingRun(policies, seed, peak)
+    run_virtual(run.run())
+    return run
+
+
 def replay(policies: Policies, seed: int, peak: float = PEAK) -> LoadRun:
     """Return a finished replay."""
     run = LoadRun(policies, seed, peak)
@@ -270,11 +327,17 @@
 
 async def run(figures: Figures) -> None:
     """Compare the chosen policies with each baseline."""
-    chosen = await asyncio.to_thread(replay, CHOSEN, 1)
-    figures.add("load_worth", chosen.worth)
-    figures.add("load_served", chosen.served)
+    switching = await asyncio.to_thread(replay_switching, CHOSEN, 1, QUIET)
+    figures.add("load_switching_worth", switching.worth)
     for policies in BASELINES:
-        base = await asyncio.to_thread(replay, policies, 1)
-        figures.add(f"load_{policies.name}_worth", base.worth)
-        figures.add(f"load_{policies.name}_served", base.served)
-        figures.add(f"load_worth_over_{policies.name}", chosen.worth / base.worth)
+        base = await asyncio.to_thread(replay_switching, policies, 1, QUIET)
+        name = f"load_switching_worth_over_{policies.name}"
+        figures.add(name, switching.worth / base.worth)
+    for pattern, peak in PATTERNS.items():
+        chosen = await asyncio.to_thread(replay, CHOSEN, 1, peak)
+        figures.add(f"load_{pattern}_worth", chosen.worth)
+        figures.add(f"load_{pattern}_served", chosen.served)
+        for policies in BASELINES:
+            base = await asyncio.to_thread(replay, policies, 1, peak)
+            name = f"load_{pattern}_worth_over_{policies.name}"
+            figures.add(name, chosen.worth / base.worth)
--- a/tests/load_replay_tests.py
+++ b/tests/load_replay_tests.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from marigold.standins.bench.load import BASELINES, CHOSEN, replay
+from marigold.standins.bench.load import (
+    BASELINES,
+    CHOSEN,
+    QUIET,
+    replay,
+    replay_switching,
+)
 
 SEED = 1
 # A peak that all engines together cannot take: they do about 140 a second.
@@ -32,3 +38,13 @@
         run = replay(CHOSEN, SEED)
         self.assertGreater(run.served, 0.995)
         self.assertGreater(run.worth, 0.9)
+
+
+class SwitchingTests(unittest.TestCase):
+    def test_switch_of_all_engines_costs_less_than_with_each_baseline(self):
+        chosen = replay_switching(CHOSEN, SEED, QUIET)
+        self.assertGreater(chosen.served, 0.99)
+        for policies in BASELINES:
+            with self.subTest(policies.name):
+                base = replay_switching(policies, SEED, QUIET)
+                self.assertGreater(chosen.worth, base.worth)
