--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -137,6 +137,9 @@
             resp.close()
             raise BrokenAnswerError(f"{view.id}: an answer to {head.attempt}")
         if head.is_unrun:
+            if head.version is not None:
+                # It may hold newer weights than the list says.
+                view.version_seen = head.version
             resp.release()
             raise NotRunError(
                 f"{view.id}: status {resp.status}",
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -140,7 +140,7 @@
         self._configurations.subscribe(self._take_configuration)
         self._floors = VersionFloors(bounds.version_ms / 1000)
         self._versions.subscribe(self._take_versions)
-        directory = RunnerDirectory(
+        directory = self._directory = RunnerDirectory(
             self._runners, cfg.data_centre, cfg.regions, time.monotonic, get_boottime
         )
         self._desk = PlacementDesk(
--- a/tests/relay_path_tests.py
+++ b/tests/relay_path_tests.py
@@ -316,6 +316,21 @@
         self.assertGreater(float(headers["Retry-After"]), 0)
         self.assertEqual(len(self.get_seen()), 1)
 
+    async def test_runner_with_other_weights_tells_which(self):
+        async def misdirected(conn, req):
+            headers = "Instance-Id: i0\r\nWeight-Versions: 3\r\n"
+            await conn.answer(req, "421 Misdirected Request", b"", headers)
+
+        self.servers[0].script(misdirected)
+        self.servers[1].script(answer)
+        for _ in range(6):
+            self.assertEqual((await self.call("/read/1"))[0], 200)
+        seen = [
+            self.process._directory.find(f"i{number}").version_seen
+            for number in range(2)
+        ]
+        self.assertEqual(seen, [3, None])
+
     async def test_failure_of_the_runner_is_passed_on_unchanged(self):
         async def fail(conn, req):
             await conn.answer(req, "500 Odd", b"why")
