Watch for a moment only until a store that was away has answered

Ruled out: probes of the connection, which a silent store acknowledges; the origin, which was back at 26 s.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -29,6 +29,8 @@
 # within the shorter part of the time in which a withdrawn key must stop.
 RETRY_S = 0.1
 RETRY_MAXIMUM_S = 0.8
+# Seconds that a watch waits until the store has answered again.
+LOST_WAIT_S = 0.5
 
 
 class FeedFollower(Generic[T]):
@@ -125,11 +127,14 @@
 
     async def _watch(self) -> None:
         asked_at = self._clock()
-        async with asyncio.timeout(self._wait + self._timeout):
-            changes = await self._feed.watch(self.revision, self._wait)
+        # A store that was away may be so still without a sign of it; a short watch
+        # finds that out, and its return, soon.
+        wait = min(self._wait, LOST_WAIT_S) if self._is_lost else self._wait
+        async with asyncio.timeout(wait + self._timeout):
+            changes = await self._feed.watch(self.revision, wait)
         # An answer without news was given when the wait was over, one with news at
         # some moment after the call; how long it then was on its way is not known.
-        waited = 0.0 if changes.items else self._wait
+        waited = 0.0 if changes.items else wait
         self._take_changes(changes, min(self._clock(), asked_at + waited))
         if changes.items and self._gather:
             await asyncio.sleep(self._gather)
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -7,7 +7,7 @@
 
 from marigold.core.exceptions import HistoryLostError, PlatformUnreachableError
 from marigold.core.platform.adapter import Changes, Feed, Listing
-from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.feeds import LOST_WAIT_S, FeedFollower
 
 WAIT_S = 2.0
 
@@ -21,11 +21,13 @@
         self._clock = clock
         self._answers = list(answers)
         self.calls = []
+        self.waits = []
 
     async def read(self):
         return await self._take("read")
 
     async def watch(self, revision, wait):
+        self.waits.append(wait)
         return await self._take(revision)
 
     async def _take(self, call):
@@ -92,6 +94,12 @@
         )
         self.assertEqual(self.follower.returned_at, self.clock.now)
 
+    async def test_watches_are_short_until_the_store_has_answered_again(self):
+        """Found in an incident: a watch hung on for 11 s after the store's return."""
+        away = PlatformUnreachableError("away")
+        await self.follow((0.0, Listing({}, 7)), (1.0, away), (0.5, Changes({}, 7)))
+        self.assertEqual(self.feed.waits, [WAIT_S, LOST_WAIT_S, WAIT_S])
+
     async def test_removed_objects_are_dropped(self):
         await self.follow(
             (0.0, Listing({"a": 1, "b": 2}, 7)), (0.1, Changes({"a": None}, 8))
