--- a/packages/entry/src/marigold/entry/admission/ledger.py
+++ b/packages/entry/src/marigold/entry/admission/ledger.py
@@ -27,6 +27,7 @@
     GrantChange,
     Loan,
     PeerState,
+    make_old_name,
 )
 from marigold.entry.admission.resources import Claim, Limit, Resource
 
@@ -250,7 +251,7 @@
     def _get_acknowledged(self, peer: str) -> tuple[int, int]:
         """Return the peer's epoch, unless an earlier incarnation's units are used."""
         for resource in self._resources.values():
-            old = resource.borrowings.get(_make_old_name(peer))
+            old = resource.borrowings.get(make_old_name(peer))
             if old is not None and old.in_use:
                 return 0, 0
         return self.agreement.get_seen(peer)
@@ -321,7 +322,7 @@
             resource.loans.pop(name, None)
             borrowing = resource.borrowings.pop(name, None)
             if borrowing is not None and borrowing.in_use:
-                old = resource.borrowings.setdefault(_make_old_name(name), Borrowing())
+                old = resource.borrowings.setdefault(make_old_name(name), Borrowing())
                 old.in_use += borrowing.in_use
 
     def _take_held(self, peer: str, demand: Demand, now: float) -> None:
@@ -396,8 +397,3 @@
     def get_wanted(self, peer: str) -> list[str]:
         """Return the resources that a peer claims."""
         return [name for name, item in self._resources.items() if peer in item.claims]
-
-
-def _make_old_name(peer: str) -> str:
-    """Return the key of what is used of a peer's earlier incarnations."""
-    return f"{peer}\0earlier"
--- a/packages/entry/src/marigold/entry/admission/loans.py
+++ b/packages/entry/src/marigold/entry/admission/loans.py
@@ -117,3 +117,8 @@
         self.sent = -math.inf
         self.grant_number = 0
         self.last_grant = 0
+
+
+def make_old_name(peer: str) -> str:
+    """Return the key of what is used of a peer's earlier incarnations."""
+    return f"{peer}\0earlier"
