--- /dev/null
+++ b/packages/target/src/marigold/target/companion/goals.py
@@ -0,0 +1,122 @@
+"""Which versions of the weights this host's runner is to be brought to.
+
+Answers the load pattern in which a version is named while the one before it is
+still on its way over thin links. Leaving the earlier one out lets runners idle
+from the time that it is due until the newer one has come; bringing both makes the
+newer one late. Where neither fits, some runners leave the earlier one out and the
+others bring both, so that a part of the service runs at any time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+# Times that a copy takes in a swarm against one over the host's own link: chunks
+# come by way of other hosts.
+SWARM_STRETCH = 1.15
+# Seconds from a complete copy until the runner has switched: it ends what it runs.
+SWITCH_TIME_S = 1.0
+# Seconds of idle runners from which on some leave the earlier version out.
+SPLIT_FROM_S = 0.2
+
+
+class Goal:
+    """A version and the boot time by which it has to be in force.
+
+    `replaces` names the earlier versions that need not be brought any more, and
+    `is_split` tells that this holds for leading hosts only.
+    """
+
+    __slots__ = ("due_at", "is_split", "named_at", "replaces", "version")
+
+    def __init__(self, version: int, named_at: float, due_at: float) -> None:
+        self.version = version
+        self.named_at = named_at
+        self.due_at = due_at
+        self.replaces: frozenset[int] = frozenset()
+        self.is_split = False
+
+
+class VersionGoals:
+    """The named versions of one model; times are boot times in seconds.
+
+    `bound` is the time that a version has, `copy_time` what one copy over this
+    host's link takes at the least.
+    """
+
+    __slots__ = ("_bound", "_copy_time", "_given_up", "_goals")
+
+    def __init__(self, bound: float, copy_time: float) -> None:
+        self._bound = bound
+        self._copy_time = copy_time * SWARM_STRETCH
+        self._goals: dict[int, Goal] = {}
+        self._given_up: set[int] = set()
+
+    def note(self, version: int, now: float) -> None:
+        """Take in a version that operators named, or that other runners hold."""
+        if version in self._goals or version in self._given_up:
+            return
+        goal = Goal(version, now, now + self._bound)
+        earlier = [item for item in self._goals.values() if item.version < version]
+        unfinished = [
+            item for item in earlier if now < item.named_at + self._copy_time
+        ]
+        if unfinished:
+            self._decide(goal, unfinished)
+        self._goals[version] = goal
+
+    def give_up(self, version: int) -> None:
+        """Forget a version that cannot be had any more."""
+        self._goals.pop(version, None)
+        self._given_up.add(version)
+
+    def get_newest(self) -> int | None:
+        """Return the newest version, None before any is known."""
+        return max(self._goals, default=None)
+
+    def _decide(self, goal: Goal, unfinished: list[Goal]) -> None:
+        """Decide whether a version replaces those that are on their way."""
+        first = min(unfinished, key=lambda item: item.due_at)
+        last = max(unfinished, key=lambda item: item.named_at)
+        time = self._copy_time + SWITCH_TIME_S
+        idle_without = goal.named_at + time - first.due_at
+        idle_with = last.named_at + self._copy_time + time - goal.due_at
+        if idle_without <= max(idle_with, 0.0):
+            goal.replaces = frozenset(item.version for item in unfinished)
+        elif idle_with > SPLIT_FROM_S:
+            goal.replaces = frozenset(item.version for item in unfinished)
+            goal.is_split = True
+
+    def choose(self, held: int | None, is_leading: Callable[[int], bool]) -> list[Goal]:
+        """Return the versions to bring one after another, none when all is well.
+
+        A runner that holds nothing is brought to the newest at once. `is_leading`
+        tells whether this host leads the way to a version.
+        """
+        versions = sorted(item for item in self._goals if held is None or item > held)
+        missing = [self._goals[item] for item in versions]
+        if held is None:
+            return missing[-1:]
+        return [
+            goal
+            for goal in missing
+            if not self.is_left_out(goal.version, is_leading)
+        ]
+
+    def is_left_out(self, version: int, is_leading: Callable[[int], bool]) -> bool:
+        """Tell whether a host need not bring a version, as a newer one is named."""
+        return any(
+            version in goal.replaces
+            and (not goal.is_split or is_leading(goal.version))
+            for goal in self._goals.values()
+        )
+
+    def is_split(self, version: int) -> bool:
+        """Tell whether some hosts lead the way to a version."""
+        goal = self._goals.get(version)
+        return goal is not None and goal.is_split
+
+    def get_named_at(self, version: int) -> float | None:
+        """Return when a version was first heard of."""
+        goal = self._goals.get(version)
+        return None if goal is None else goal.named_at
--- /dev/null
+++ b/packages/target/src/marigold/target/companion/metrics.py
@@ -0,0 +1,22 @@
+"""Metrics of a companion."""
+
+from __future__ import annotations
+
+from marigold.core.metrics import Counter, Histogram, render_metrics
+
+
+class CompanionMetrics:
+    """Counters and histograms, bounded in number."""
+
+    def __init__(self) -> None:
+        self.loads = Counter(
+            "marigold_companion_loads", "Orders to load, by result.", ("result",)
+        )
+        self.copy_time = Histogram(
+            "marigold_companion_copy_seconds",
+            "Time from the naming of a version to the order to load it.",
+        )
+
+    def render(self) -> str:
+        """Return the text form."""
+        return render_metrics(self.loads, self.copy_time)
--- /dev/null
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -0,0 +1,280 @@
+"""The companion process: wiring of its parts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from contextlib import AsyncExitStack
+
+from aiohttp import ClientSession, web
+
+from marigold.core.boottime import get_boottime
+from marigold.core.clock import HybridClock
+from marigold.core.commands import tune_collector
+from marigold.core.connections import make_connector, split_address
+from marigold.core.lifecycle import Process, cancel_tasks
+from marigold.core.links.identity import Identity, make_incarnation
+from marigold.core.links.link import Link, LinkContext
+from marigold.core.links.transport import open_link, serve_links
+from marigold.core.logging import configure_bounded_logging, get_logger
+from marigold.core.platform.adapter import Adapter, load_adapter
+from marigold.core.platform.feeds import FeedFollower
+from marigold.core.schema.generated.deployment import (
+    Configuration,
+    Runner,
+    WantedVersion,
+    WeightOrigin,
+)
+from marigold.core.schema.generated.messages import Heartbeat
+from marigold.core.schema.generated.settings import (
+    Address,
+    CompanionSettings,
+    Links,
+    WeightSettings,
+)
+from marigold.target.companion.goals import VersionGoals
+from marigold.target.companion.copies import VersionCopies
+from marigold.target.companion.keeper import WeightKeeper
+from marigold.target.companion.neighbours import Neighbours, get_held_version
+from marigold.target.companion.loads import LoadReporter
+from marigold.target.companion.metrics import CompanionMetrics
+from marigold.target.companion.sharing import SharePlanner
+from marigold.target.companion.staging import StagedEngine
+from marigold.target.companion.switching import SwitchTurns
+from marigold.target.weights.exchange import WeightExchange
+from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.uploads import UploadBudget
+
+log = get_logger(__name__)
+
+KEEPALIVE_S = 30.0
+BYTES_PER_MEGABIT = 125_000
+# Part of the host's link that uploads take; answers of the runner need the rest.
+UPLOAD_PART = 0.93
+# Part of a link that carries chunks; headers of packets take the rest.
+PAYLOAD_PART = 0.95
+LINKS = Links(heartbeat_interval=1.0, silence_timeout=3.0)
+# Seconds that one chunk may take, in the queue of a busy peer as well; a chunk that
+# is given up has been sent in vain.
+CHUNK_TIMEOUT_S = 4.0
+# Seconds without any chunk after which more are asked of the origin.
+RESCUE_AFTER_S = 1.0
+# Seconds after which a source that gave nothing is asked again at the latest; an
+# origin that was away is missed from its first moment on.
+SOURCE_RETRY_S = 0.3
+PARALLEL_CHUNKS = 3
+# Bytes of a chunk that are sent in one go; they hold up live answers for 18 ms on a
+# link of 3.65 Mbit/s.
+PART_BYTES = 8 * 1024
+# Copies that this host may send in all, and of one chunk at first: regions have a
+# few hosts, and one of them may have to feed another region as well.
+UPLOAD_COPIES = 4.0
+CHUNK_SENDS = 32
+BUFFER_BYTES = 8 * 1024 * 1024
+WAIT_FOR_CONFIGURATION_S = 0.05
+# Seconds one watch of the configuration waits; only the cost model and the origin
+# are taken from it here.
+CONFIGURATION_WAIT_S = 20.0
+# The same for the runner list, of which peers are taken; its changes gather for a
+# while, as a link to a new peer is not urgent.
+RUNNER_WAIT_S = 4.0
+RUNNER_GATHER_S = 0.5
+
+
+class CompanionProcess(Process):
+    """The process beside one runner."""
+
+    def __init__(self, cfg: CompanionSettings) -> None:
+        self._cfg = cfg
+        self._rng = random.Random(cfg.seed or None)
+        self._clock = HybridClock()
+        self._metrics = CompanionMetrics()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Keep the runner's weights until `stop` is set."""
+        cfg = self._cfg
+        output = configure_bounded_logging(
+            cfg.process, cfg.data_centre, self._clock, cfg.log_lines
+        )
+        log.event("companion_starts", runner=cfg.runner, service=cfg.service)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP, log.event, "reload_ignored"
+        )
+        adapter = load_adapter(cfg.platform)
+        async with AsyncExitStack() as stack:
+            session = await stack.enter_async_context(
+                ClientSession(connector=make_connector(KEEPALIVE_S))
+            )
+            feeds = self._follow(adapter, session)
+            await self._serve_metrics(stack)
+            main = asyncio.create_task(self._keep(adapter, session, stack))
+            try:
+                await stop.wait()
+            finally:
+                await cancel_tasks(main, *feeds)
+        log.event("companion_stopped")
+        output.close()
+
+    def _follow(
+        self, adapter: Adapter, session: ClientSession
+    ) -> list[asyncio.Task[None]]:
+        access = self._cfg.platform
+        self._configurations: FeedFollower[Configuration] = FeedFollower(
+            adapter.make_configuration_feed(session, is_stale=True),
+            CONFIGURATION_WAIT_S,
+            access.call_timeout,
+            self._rng,
+        )
+        self._runners: FeedFollower[Runner] = FeedFollower(
+            adapter.make_runner_feed(session, is_stale=True),
+            RUNNER_WAIT_S,
+            access.call_timeout,
+            self._rng,
+            gather=RUNNER_GATHER_S,
+        )
+        self._versions: FeedFollower[WantedVersion] = FeedFollower(
+            adapter.make_version_feed(session),
+            access.watch_wait,
+            access.call_timeout,
+            self._rng,
+        )
+        feeds = (self._configurations, self._runners, self._versions)
+        return [asyncio.create_task(feed.run()) for feed in feeds]
+
+    async def _keep(
+        self, adapter: Adapter, session: ClientSession, stack: AsyncExitStack
+    ) -> None:
+        cfg = self._cfg
+        model, origin, size = await self._find_model()
+        region = cfg.regions.get(origin.data_centre, origin.data_centre)
+        driver = adapter.make_runner_driver(session, cfg.runner)
+        source = adapter.make_weight_source(session, origin.address)
+        engine = StagedEngine(driver, model)
+        rate = cfg.link_mbps * BYTES_PER_MEGABIT
+        copy_time = size / (rate * PAYLOAD_PART)
+        origin_rate = origin.bytes_per_second or rate
+        first_copy_time = size / (origin_rate * PAYLOAD_PART)
+        ctx = LinkContext(
+            Identity(cfg.process, "target", cfg.data_centre, make_incarnation()),
+            self._clock,
+            LINKS,
+            "",
+            lambda: Heartbeat(generation=0),
+        )
+        exchange = WeightExchange(
+            lambda address: open_link(address, ctx),
+            WeightSettings(
+                buffer_bytes=BUFFER_BYTES,
+                chunk_timeout=CHUNK_TIMEOUT_S,
+                parallel=PARALLEL_CHUNKS,
+            ),
+            engine,
+            source,
+            UploadPacer(rate * UPLOAD_PART, lambda: False),
+            self._rng,
+            UploadBudget(UPLOAD_COPIES, CHUNK_SENDS, PART_BYTES),
+            SOURCE_RETRY_S,
+            RESCUE_AFTER_S,
+        )
+        loads = LoadReporter()
+        goals = VersionGoals(cfg.bounds.version_ms / 1000, copy_time)
+        self._runners.subscribe(lambda: self._note_held(goals, model))
+        self._versions.subscribe(lambda: self._note_named(goals, model))
+        self._note_held(goals, model)
+        self._note_named(goals, model)
+        turns = SwitchTurns()
+        neighbours = Neighbours(
+            cfg.peers, cfg.data_centre, cfg.regions, self._get_neighbours
+        )
+        copies = VersionCopies(
+            model,
+            source,
+            engine,
+            exchange,
+            goals,
+            turns,
+            neighbours,
+            SharePlanner(region, first_copy_time),
+            get_boottime,
+        )
+        keeper = WeightKeeper(
+            model,
+            driver,
+            source,
+            engine,
+            copies,
+            goals,
+            turns,
+            neighbours,
+            loads,
+            self._metrics,
+            copy_time,
+            get_boottime,
+        )
+        host, port = split_address(cfg.peers)
+
+        async def serve(link: Link) -> None:
+            if link.peer.role == "entry":
+                await loads.serve(link)
+            else:
+                await exchange.serve(link)
+
+        reporter = asyncio.create_task(loads.run())
+        try:
+            async with serve_links(Address(host=host, port=port), ctx, serve):
+                await keeper.run()
+        finally:
+            await cancel_tasks(reporter)
+            await exchange.stop()
+
+    async def _find_model(self) -> tuple[str, WeightOrigin, int]:
+        """Return the model of the service, the origin and the bytes of a copy."""
+        while True:
+            for cfg in self._configurations.items.values():
+                service = next(
+                    (item for item in cfg.services if item.name == self._cfg.service),
+                    None,
+                )
+                origin = next((item.origin for item in cfg.services if item.origin), None)
+                if service is None or service.engine is None or origin is None:
+                    continue
+                engine = service.engine
+                if engine.models:
+                    size = engine.chunks * engine.chunk_bytes
+                    return engine.models[0], origin, size
+            await asyncio.sleep(WAIT_FOR_CONFIGURATION_S)
+
+    def _get_neighbours(self) -> dict[str, Runner]:
+        """Return the runners of the service by the address of their companion."""
+        _, port = split_address(self._cfg.peers)
+        found = {}
+        for runner in self._runners.items.values():
+            if runner.service == self._cfg.service and not runner.is_draining:
+                host, _ = split_address(runner.address)
+                found[f"{host}:{port}"] = runner
+        return found
+
+    def _note_held(self, goals: VersionGoals, model: str) -> None:
+        for runner in self._get_neighbours().values():
+            version = get_held_version(runner.held)
+            if version is not None:
+                goals.note(version, get_boottime())
+
+    def _note_named(self, goals: VersionGoals, model: str) -> None:
+        for wanted in self._versions.items.values():
+            if wanted.model == model:
+                goals.note(wanted.version, get_boottime())
+                log.event("version_named", model=model, version=wanted.version)
+
+    async def _serve_metrics(self, stack: AsyncExitStack) -> None:
+        app = web.Application()
+        app.router.add_get("/metrics", self._get_metrics)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        host, port = split_address(self._cfg.metrics)
+        await web.TCPSite(runner, host, port).start()
+
+    async def _get_metrics(self, req: web.Request) -> web.Response:
+        return web.Response(text=self._metrics.render())
