Show two mends of the companion by tests that fail without them

Ruled out so: that the tests cover them by chance. With the mends taken out both new tests fail, with them 33 pass.

--- a/packages/target/src/marigold/target/companion/copies.py
+++ b/packages/target/src/marigold/target/companion/copies.py
@@ -182,7 +182,10 @@
     def _is_origin_free(self, version: int) -> bool:
         """Tell whether the origin has had the time to send its one copy."""
         named_at = self._goals.get_named_at(version)
-        if named_at is None or self._neighbours.own.region == self._planner.origin_region:
+        if (
+            named_at is None
+            or self._neighbours.own.region == self._planner.origin_region
+        ):
             return False
         return self._clock() >= named_at + self._planner.first_copy_time
 
--- a/packages/target/src/marigold/target/companion/goals.py
+++ b/packages/target/src/marigold/target/companion/goals.py
@@ -58,9 +58,7 @@
             return
         goal = Goal(version, now, now + self._bound)
         earlier = [item for item in self._goals.values() if item.version < version]
-        unfinished = [
-            item for item in earlier if now < item.named_at + self._copy_time
-        ]
+        unfinished = [item for item in earlier if now < item.named_at + self._copy_time]
         if unfinished:
             self._decide(goal, unfinished)
         self._goals[version] = goal
@@ -98,16 +96,13 @@
         if held is None:
             return missing[-1:]
         return [
-            goal
-            for goal in missing
-            if not self.is_left_out(goal.version, is_leading)
+            goal for goal in missing if not self.is_left_out(goal.version, is_leading)
         ]
 
     def is_left_out(self, version: int, is_leading: Callable[[int], bool]) -> bool:
         """Tell whether a host need not bring a version, as a newer one is named."""
         return any(
-            version in goal.replaces
-            and (not goal.is_split or is_leading(goal.version))
+            version in goal.replaces and (not goal.is_split or is_leading(goal.version))
             for goal in self._goals.values()
         )
 
--- a/packages/target/src/marigold/target/companion/keeper.py
+++ b/packages/target/src/marigold/target/companion/keeper.py
@@ -206,7 +206,9 @@
         own_host = self._neighbours.own.host
         turn = self._turns.get_turn(own_host, needing, goal.version)
         if not download.is_complete():
-            return self._turns.is_early(turn, count, self._copies.estimate_rest(download))
+            return self._turns.is_early(
+                turn, count, self._copies.estimate_rest(download)
+            )
         complete_at = goal.named_at + self._copy_time * SWARM_STRETCH
         start = self._turns.get_start(turn, count, complete_at, goal.due_at)
         return self._clock() >= start
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -236,7 +236,9 @@
                     (item for item in cfg.services if item.name == self._cfg.service),
                     None,
                 )
-                origin = next((item.origin for item in cfg.services if item.origin), None)
+                origin = next(
+                    (item.origin for item in cfg.services if item.origin), None
+                )
                 if service is None or service.engine is None or origin is None:
                     continue
                 engine = service.engine
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -442,12 +442,22 @@
         self.assertEqual(sorted(order.origin_chunks), list(range(CHUNKS)))
 
     async def test_runner_that_holds_a_newer_version_is_not_paused_for_an_older(self):
-        self.keeper._pausing = 2
         self.driver.held = [HeldModel(model="m", version=3)]
+        self.source.versions = {3}
         self.goals.note(3, self.now)
         await self.look()
+        self.keeper._pausing = 2
+        await self.look()
         self.assertIsNone(self.keeper._pausing)
 
+    async def test_report_does_not_wait_for_the_origin_to_name_a_version(self):
+        async def fail(model, version):
+            raise PlatformUnreachableError("away")
+
+        self.source.get_manifest = fail
+        await self.look(5.0)
+        self.assertIsNotNone(self.keeper.report)
+
     async def test_where_nobody_names_a_version_the_origin_is_asked(self):
         await self.look()
         self.assertIsNone(self.goals.get_newest())
