Let a reload reach the policies, and drop what nothing reads

Fields were decoded that no decision reads; both processes had the same code for small servers; baselines stood among the policies.

Ruled out: making the policies anew, as requests in hand hold the old ones.

--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -115,11 +115,10 @@
     """What the head of a caller's request tells.
 
     `deadline` is in seconds, None when the caller names none. `key` is empty
-    without one. `prompt_tokens` and `answer_tokens` are 0 when not told.
+    without one. `prompt_tokens` is 0 when not told.
     """
 
     __slots__ = (
-        "answer_tokens",
         "attempt",
         "deadline",
         "key",
@@ -135,7 +134,6 @@
         deadline: float | None = None,
         model: str = "",
         prompt_tokens: int = 0,
-        answer_tokens: int = 0,
         last_event: str = "",
     ) -> None:
         self.attempt = attempt
@@ -143,7 +141,6 @@
         self.deadline = deadline
         self.model = model
         self.prompt_tokens = prompt_tokens
-        self.answer_tokens = answer_tokens
         self.last_event = last_event
 
 
@@ -196,8 +193,6 @@
 
     __slots__ = (
         "attempt",
-        "idle_timeout",
-        "is_closing",
         "is_sealed",
         "is_unrun",
         "load",
@@ -209,18 +204,14 @@
         attempt: str = "",
         is_unrun: bool = False,
         is_sealed: bool = False,
-        is_closing: bool = False,
         load: LoadNote | None = None,
         version: int | None = None,
-        idle_timeout: float | None = None,
     ) -> None:
         self.attempt = attempt
         self.is_unrun = is_unrun
         self.is_sealed = is_sealed
-        self.is_closing = is_closing
         self.load = load
         self.version = version
-        self.idle_timeout = idle_timeout
 
 
 class Dialect(ABC):
--- a/packages/entry/src/marigold/entry/relay/catalogue.py
+++ b/packages/entry/src/marigold/entry/relay/catalogue.py
@@ -56,10 +56,6 @@
         found = self._services.get(service)
         return None if found is None else found.engine
 
-    def get_services(self) -> Sequence[Service]:
-        """Return all services."""
-        return list(self._services.values())
-
 
 def choose_service(services: Sequence[WeightedService], rng: random.Random) -> str:
     """Return one of a route's services, by weight."""
--- a/packages/entry/src/marigold/entry/relay/estimates.py
+++ b/packages/entry/src/marigold/entry/relay/estimates.py
@@ -28,12 +28,11 @@
     return tokens / engine.prompt_rate + engine.pair_cost * tokens * tokens / 2
 
 
-def get_service_time(engine: EngineModel | None, answer_tokens: float) -> float:
+def get_service_time(engine: EngineModel | None) -> float:
     """Return the seconds from the first token to the last in a full batch."""
     if engine is None:
         return PLAIN_SERVICE_S
-    tokens = answer_tokens or engine.usual_answer
-    return tokens * get_step(engine, engine.slots) * READING_STRETCH
+    return engine.usual_answer * get_step(engine, engine.slots) * READING_STRETCH
 
 
 def estimate_start(
@@ -50,7 +49,7 @@
     before it and, where the batch is full, for requests to end.
     """
     excess = max(load + 1 - slots, 0.0)
-    turnover = get_service_time(engine, 0) / max(slots, 1)
+    turnover = get_service_time(engine) / max(slots, 1)
     if engine is None:
         return PLAIN_SERVICE_S + excess * turnover
     running = min(load, slots)
--- a/packages/entry/src/marigold/entry/relay/floors.py
+++ b/packages/entry/src/marigold/entry/relay/floors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 # Seconds before the bound from which on only new weights are asked for: a
 # request may wait at a runner, and this entry learns of a version a little after
 # it was named.
@@ -9,17 +11,20 @@
 
 
 class VersionFloors:
-    """Named versions and when each becomes the floor; times are boot times."""
+    """Named versions and when each becomes the floor; times are boot times.
+
+    `bound` is the seconds after which no request may begin on older weights.
+    """
 
-    __slots__ = ("_bound", "_named")
+    __slots__ = ("_named", "bound")
 
-    def __init__(self, bound: float) -> None:
-        self._bound = bound - MARGIN_S
+    def __init__(self, bound: float = math.inf) -> None:
+        self.bound = bound
         self._named: dict[str, dict[int, float]] = {}
 
     def note(self, model: str, version: int, now: float) -> None:
         """Take in a version that operators named just now."""
-        self._note(model, version, now + self._bound)
+        self._note(model, version, now + self.bound - MARGIN_S)
 
     def note_earlier(self, model: str, version: int, due_at: float) -> None:
         """Take in a version that was named at an unknown time before."""
--- a/packages/entry/src/marigold/entry/relay/freshness.py
+++ b/packages/entry/src/marigold/entry/relay/freshness.py
@@ -16,21 +16,30 @@
 
 
 class KeyFreshness:
-    """Judges the age of the configuration."""
+    """Judges the age of the configuration.
 
-    __slots__ = ("_absence_bound", "_is_strict", "_key_bound")
+    `revocation` is the seconds after which a withdrawn key must not work, which
+    counts where `is_strict`; `configuration` those in which a change is in force.
+    """
 
-    def __init__(self, is_strict: bool, revocation: float, wait: float) -> None:
-        self._is_strict = is_strict
-        self._key_bound = revocation - MARGIN_S
-        self._absence_bound = wait + ABSENCE_MARGIN_S
+    __slots__ = ("configuration", "is_strict", "revocation")
+
+    def __init__(
+        self,
+        is_strict: bool = True,
+        revocation: float = 0.0,
+        configuration: float = 0.0,
+    ) -> None:
+        self.is_strict = is_strict
+        self.revocation = revocation
+        self.configuration = configuration
 
     def may_use_key(self, age: float | None) -> bool:
         """Tell whether a key may be taken as valid."""
         if age is None:
             return False
-        return not self._is_strict or age < self._key_bound
+        return not self.is_strict or age < self.revocation - MARGIN_S
 
     def may_deny(self, age: float | None) -> bool:
         """Tell whether a missing route or key may be taken as missing."""
-        return age is not None and age < self._absence_bound
+        return age is not None and age < self.configuration + ABSENCE_MARGIN_S
--- a/packages/entry/src/marigold/entry/relay/front.py
+++ b/packages/entry/src/marigold/entry/relay/front.py
@@ -156,7 +156,6 @@
             precedence,
             head.model,
             head.prompt_tokens,
-            head.answer_tokens,
         )
 
     def _require_deniable(self, age: float | None, reason: str) -> None:
--- a/packages/entry/src/marigold/entry/relay/placement.py
+++ b/packages/entry/src/marigold/entry/relay/placement.py
@@ -55,59 +55,6 @@
     return not view.runner.is_engine or not view.has_unread_prompt(now)
 
 
-class RoundRobinPlacement(Placement):
-    """Baseline: each runner in turn, without a bound."""
-
-    def __init__(self) -> None:
-        self._next = 0
-
-    def choose(
-        self,
-        ticket: Ticket,
-        engine: EngineModel | None,
-        views: Sequence[RunnerView],
-        now: float,
-        rng: random.Random,
-    ) -> RunnerView | None:
-        """Return the next runner."""
-        if not views:
-            return None
-        self._next += 1
-        return views[self._next % len(views)]
-
-
-class RandomPlacement(Placement):
-    """Baseline: any runner, without a bound."""
-
-    def choose(
-        self,
-        ticket: Ticket,
-        engine: EngineModel | None,
-        views: Sequence[RunnerView],
-        now: float,
-        rng: random.Random,
-    ) -> RunnerView | None:
-        """Return a random runner."""
-        return rng.choice(views) if views else None
-
-
-class FewestOwnPlacement(Placement):
-    """Baseline: the fewest requests of this entry, without a bound."""
-
-    def choose(
-        self,
-        ticket: Ticket,
-        engine: EngineModel | None,
-        views: Sequence[RunnerView],
-        now: float,
-        rng: random.Random,
-    ) -> RunnerView | None:
-        """Return the runner that this entry has sent least to."""
-        if not views:
-            return None
-        return min(views, key=lambda view: (len(view.tickets), rng.random()))
-
-
 class EarliestStartPlacement(Placement):
     """The runner with the earliest expected first part, within its bound."""
 
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from contextlib import AsyncExitStack
+from typing import TypeVar
 
 from aiohttp import ClientSession, web
 
@@ -20,7 +21,7 @@
 from marigold.core.links.link import LinkContext
 from marigold.core.links.transport import open_link
 from marigold.core.logging import configure_bounded_logging, get_logger
-from marigold.core.platform.adapter import Adapter, load_adapter
+from marigold.core.platform.adapter import Adapter, Feed, load_adapter
 from marigold.core.platform.feeds import FeedFollower
 from marigold.core.schema.generated.deployment import (
     Configuration,
@@ -29,7 +30,8 @@
     WantedVersion,
 )
 from marigold.core.schema.generated.messages import Heartbeat
-from marigold.core.schema.generated.settings import Links, RelaySettings
+from marigold.core.schema.generated.settings import Bounds, Links, RelaySettings
+from marigold.core.serving import serve_paths
 from marigold.core.settings import load_settings
 from marigold.entry.relay.catalogue import Catalogue
 from marigold.entry.relay.companions import CompanionLinks, Dialer
@@ -47,6 +49,8 @@
 
 log = get_logger(__name__)
 
+T = TypeVar("T")
+
 # Seconds that connections to runners are kept unused; runners close idle ones
 # later than that.
 RUNNER_KEEPALIVE_S = 4.0
@@ -84,6 +88,10 @@
         self._clock = HybridClock()
         self._metrics = RelayMetrics()
         self._started_at = get_boottime()
+        self._floors = VersionFloors()
+        self._freshness = KeyFreshness()
+        self._repeats = SlidingRepeatBudget()
+        self._take_bounds(cfg.bounds)
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then finish running requests."""
@@ -116,29 +124,17 @@
     ) -> None:
         cfg = self._cfg
         access = cfg.platform
-        bounds = cfg.bounds
-        self._configurations: FeedFollower[Configuration] = FeedFollower(
-            adapter.make_configuration_feed(store),
-            access.configuration_wait,
-            access.call_timeout,
-            self._rng,
+        self._configurations: FeedFollower[Configuration] = self._follow(
+            adapter.make_configuration_feed(store), access.configuration_wait
         )
-        self._runners: FeedFollower[Runner] = FeedFollower(
-            adapter.make_runner_feed(store),
-            access.watch_wait,
-            access.call_timeout,
-            self._rng,
-            gather=RUNNER_GATHER_S,
+        self._runners: FeedFollower[Runner] = self._follow(
+            adapter.make_runner_feed(store), access.watch_wait, RUNNER_GATHER_S
         )
-        self._versions: FeedFollower[WantedVersion] = FeedFollower(
-            adapter.make_version_feed(store),
-            access.watch_wait,
-            access.call_timeout,
-            self._rng,
+        self._versions: FeedFollower[WantedVersion] = self._follow(
+            adapter.make_version_feed(store), access.watch_wait
         )
         self._source = CatalogueSource(self._configurations.get_age)
         self._configurations.subscribe(self._take_configuration)
-        self._floors = VersionFloors(bounds.version_ms / 1000)
         self._versions.subscribe(self._take_versions)
         directory = self._directory = RunnerDirectory(
             self._runners, cfg.data_centre, cfg.regions, time.monotonic, get_boottime
@@ -167,25 +163,25 @@
             self._desk,
             Forwarder(runners, adapter.dialect),
             adapter.dialect,
-            SlidingRepeatBudget(
-                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
-            ),
+            self._repeats,
             self._metrics,
             self._rng,
         )
         self._front = CallerFront(
             self._source,
-            KeyFreshness(
-                bounds.refuse_stale_keys,
-                bounds.revocation_ms / 1000,
-                bounds.configuration_ms / 1000,
-            ),
+            self._freshness,
             server,
             adapter.dialect,
             self._metrics,
             self._rng,
         )
 
+    def _follow(
+        self, feed: Feed[T], wait: float, gather: float = 0.0
+    ) -> FeedFollower[T]:
+        timeout = self._cfg.platform.call_timeout
+        return FeedFollower(feed, wait, timeout, self._rng, gather=gather)
+
     def _make_dialer(self) -> Dialer:
         cfg = self._cfg
         ctx = LinkContext(
@@ -211,11 +207,10 @@
             auto_decompress=False,
         )
         site = await self._listen(stack, callers, cfg.callers)
-        side_app = web.Application()
-        side_app.router.add_get(adapter.dialect.readiness_path, self._get_readiness)
-        side_app.router.add_get("/metrics", self._get_metrics)
-        await self._listen_app(stack, side_app, cfg.readiness)
-        await self._listen_app(stack, side_app, cfg.metrics)
+        readiness = {adapter.dialect.readiness_path: self._get_readiness}
+        await stack.enter_async_context(serve_paths(cfg.readiness, readiness))
+        metrics = {"/metrics": self._get_metrics}
+        await stack.enter_async_context(serve_paths(cfg.metrics, metrics))
         tasks = [
             asyncio.create_task(item.run())
             for item in (
@@ -245,15 +240,6 @@
         await site.start()
         return site
 
-    async def _listen_app(
-        self, stack: AsyncExitStack, app: web.Application, address: str
-    ) -> None:
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        host, port = split_address(address)
-        await web.TCPSite(runner, host, port).start()
-
     async def _get_readiness(self, req: web.Request) -> web.Response:
         is_ready = self._front.is_ready() and self._runners.confirmed_at is not None
         return web.Response(status=200 if is_ready else 503)
@@ -305,7 +291,18 @@
             log.event("settings_rejected", reason=exc)
             return
         log.event("settings_reloaded", changed=cfg != self._cfg)
-        self._cfg.bounds = cfg.bounds
+        self._take_bounds(cfg.bounds)
+
+    def _take_bounds(self, bounds: Bounds) -> None:
+        """Let the policies go by the bounds of the deployment."""
+        self._cfg.bounds = bounds
+        self._floors.bound = bounds.version_ms / 1000
+        self._freshness.is_strict = bounds.refuse_stale_keys
+        self._freshness.revocation = bounds.revocation_ms / 1000
+        self._freshness.configuration = bounds.configuration_ms / 1000
+        self._repeats.ratio = bounds.retry_ratio
+        self._repeats.extra = bounds.retry_extra
+        self._repeats.window = bounds.retry_window_s
 
     async def _finish_running(self, site: web.TCPSite) -> None:
         front = self._front
--- a/packages/entry/src/marigold/entry/relay/queueing.py
+++ b/packages/entry/src/marigold/entry/relay/queueing.py
@@ -43,14 +43,6 @@
         """
 
 
-class ArrivalOrder(QueueOrder):
-    """Baseline: first in, first out."""
-
-    def pick(self, waiting: list[Ticket], expected_start: float, now: float) -> Ticket:
-        """Return the request that came first."""
-        return min(waiting, key=lambda ticket: ticket.arrived_at)
-
-
 class InTimeOrder(QueueOrder):
     """Precedence, then what can be in time, newest first, then what is late."""
 
--- a/packages/entry/src/marigold/entry/relay/repeats.py
+++ b/packages/entry/src/marigold/entry/relay/repeats.py
@@ -46,19 +46,26 @@
 
 
 class SlidingRepeatBudget(RepeatPolicy):
-    """Repeats within a sliding window, in proportion to requests in it."""
+    """Repeats within a sliding window, in proportion to requests in it.
 
-    __slots__ = ("_extra", "_ratio", "_window", "_windows")
+    `ratio` and `extra` are what all entries together may make in any `window`
+    seconds. The budget of the product's own interface loses weight exponentially
+    and so bounds no window.
+    """
 
-    def __init__(self, ratio: float, extra: float, window: float) -> None:
-        self._ratio = ratio * RATIO_USED
-        self._extra = max(extra * EXTRA_SHARE, FLOOR)
-        self._window = window
+    __slots__ = ("_windows", "extra", "ratio", "window")
+
+    def __init__(
+        self, ratio: float = 0.0, extra: float = 0.0, window: float = 1.0
+    ) -> None:
+        self.ratio = ratio
+        self.extra = extra
+        self.window = window
         self._windows: dict[str, _Window] = {}
 
     def _get(self, service: str, now: float) -> _Window:
         window = self._windows.setdefault(service, _Window())
-        window.drop_before(now - self._window)
+        window.drop_before(now - self.window)
         return window
 
     def note_request(self, service: str, now: float) -> None:
@@ -68,7 +75,8 @@
     def take(self, service: str, now: float) -> bool:
         """Tell whether a repeat may be made now, and count it."""
         window = self._get(service, now)
-        allowed = self._extra + self._ratio * len(window.requests)
+        allowed = max(self.extra * EXTRA_SHARE, FLOOR)
+        allowed += self.ratio * RATIO_USED * len(window.requests)
         if len(window.repeats) + 1 > allowed:
             return False
         window.repeats.append(now)
--- a/packages/entry/src/marigold/entry/relay/streams.py
+++ b/packages/entry/src/marigold/entry/relay/streams.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from marigold.core.exceptions import MarigoldError
+
 # Bytes of one event at most.
 MAXIMUM_EVENT_BYTES = 1 << 20
 
 
-class StreamOrderError(Exception):
+class StreamOrderError(MarigoldError):
     """An event does not follow the one before it."""
 
 
@@ -45,7 +47,10 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are whole now."""
+        """Return the events that are whole now.
+
+        Raise `StreamOrderError` where one passes `MAXIMUM_EVENT_BYTES`.
+        """
         buffer = self._buffer + data
         events = []
         while True:
@@ -73,11 +78,10 @@
 class EventSequence:
     """Checks that the ids of events go up by one, over several answers."""
 
-    __slots__ = ("_last", "_resumed")
+    __slots__ = ("_last",)
 
     def __init__(self, last: int | None) -> None:
         self._last = last
-        self._resumed = False
 
     @property
     def last(self) -> int | None:
--- a/packages/entry/src/marigold/entry/relay/tickets.py
+++ b/packages/entry/src/marigold/entry/relay/tickets.py
@@ -29,7 +29,6 @@
     """
 
     __slots__ = (
-        "answer_tokens",
         "arrived_at",
         "ends_at",
         "id",
@@ -57,7 +56,6 @@
         precedence: int | None = None,
         model: str = "",
         prompt_tokens: int = 0,
-        answer_tokens: int = 0,
     ) -> None:
         self.id = id
         self.service = service
@@ -71,7 +69,6 @@
         self.precedence = route.precedence if precedence is None else precedence
         self.model = model
         self.prompt_tokens = prompt_tokens
-        self.answer_tokens = answer_tokens
         self.is_started = False
         self.sends = 0
         self.sent_at = 0.0
--- a/packages/entry/tests/relay_beliefs_tests.py
+++ b/packages/entry/tests/relay_beliefs_tests.py
@@ -16,7 +16,7 @@
 
 class KeyFreshnessTests(unittest.TestCase):
     def setUp(self):
-        self.freshness = KeyFreshness(True, revocation=5.0, wait=2.0)
+        self.freshness = KeyFreshness(True, revocation=5.0, configuration=2.0)
 
     def test_key_is_not_used_before_the_first_confirmation(self):
         self.assertFalse(self.freshness.may_use_key(None))
--- a/packages/entry/tests/relay_placement_tests.py
+++ b/packages/entry/tests/relay_placement_tests.py
@@ -7,14 +7,13 @@
 from relay_fakes import ENGINE, make_ticket, make_view
 
 from marigold.core.platform.adapter import LoadNote
-from marigold.entry.relay.health import AVOIDED_FROM
-from marigold.entry.relay.placement import (
-    OVERCOMMIT,
-    EarliestStartPlacement,
+from marigold.entry.relay.baselines import (
     FewestOwnPlacement,
     RandomPlacement,
     RoundRobinPlacement,
 )
+from marigold.entry.relay.health import AVOIDED_FROM
+from marigold.entry.relay.placement import OVERCOMMIT, EarliestStartPlacement
 
 
 class EarliestStartPlacementTests(unittest.TestCase):
--- a/packages/entry/tests/relay_queueing_tests.py
+++ b/packages/entry/tests/relay_queueing_tests.py
@@ -5,11 +5,11 @@
 
 from relay_fakes import make_route, make_ticket
 
+from marigold.entry.relay.baselines import ArrivalOrder
 from marigold.entry.relay.queueing import (
     OLDEST_TURN,
     RETRY_MAXIMUM_S,
     RETRY_SPREAD,
-    ArrivalOrder,
     InTimeOrder,
     Servability,
     StartRate,
--- a/packages/standins/src/marigold/standins/bench/load.py
+++ b/packages/standins/src/marigold/standins/bench/load.py
@@ -20,22 +20,17 @@
     Runner,
     WeightedService,
 )
-from marigold.entry.relay.desk import PlacementDesk
-from marigold.entry.relay.exceptions import NotServedError
-from marigold.entry.relay.floors import VersionFloors
-from marigold.entry.relay.placement import (
-    EarliestStartPlacement,
+from marigold.entry.relay.baselines import (
+    ArrivalOrder,
     FewestOwnPlacement,
-    Placement,
     RandomPlacement,
     RoundRobinPlacement,
 )
-from marigold.entry.relay.queueing import (
-    ArrivalOrder,
-    InTimeOrder,
-    QueueOrder,
-    Servability,
-)
+from marigold.entry.relay.desk import PlacementDesk
+from marigold.entry.relay.exceptions import NotServedError
+from marigold.entry.relay.floors import VersionFloors
+from marigold.entry.relay.placement import EarliestStartPlacement, Placement
+from marigold.entry.relay.queueing import InTimeOrder, QueueOrder, Servability
 from marigold.entry.relay.tickets import Ticket
 from marigold.entry.relay.views import RunnerView
 from marigold.standins.bench.figures import Figures
@@ -238,7 +233,7 @@
         desk = self._desks[entry]
         left = ROUTE.timeout - (get_time() - asked_at)
         ticket = Ticket(
-            "r", "model", ROUTE, get_time(), left, "", None, "assistant", prompt, answer
+            "r", "model", ROUTE, get_time(), left, "", None, "assistant", prompt
         )
         try:
             view = await desk.acquire(ticket)
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -11,7 +11,6 @@
 
 from marigold.core.boottime import get_boottime
 from marigold.core.clock import HybridClock
-from marigold.core.commands import tune_collector
 from marigold.core.connections import make_connector, split_address
 from marigold.core.lifecycle import Process, cancel_tasks
 from marigold.core.links.identity import Identity, make_incarnation
@@ -33,12 +32,13 @@
     Links,
     WeightSettings,
 )
-from marigold.target.companion.goals import VersionGoals
+from marigold.core.serving import serve_paths
 from marigold.target.companion.copies import VersionCopies
+from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.keeper import WeightKeeper
-from marigold.target.companion.neighbours import Neighbours, get_held_version
 from marigold.target.companion.loads import LoadReporter
 from marigold.target.companion.metrics import CompanionMetrics
+from marigold.target.companion.neighbours import Neighbours, get_held_version
 from marigold.target.companion.sharing import SharePlanner
 from marigold.target.companion.staging import StagedEngine
 from marigold.target.companion.switching import SwitchTurns
@@ -107,7 +107,8 @@
                 ClientSession(connector=make_connector(KEEPALIVE_S))
             )
             feeds = self._follow(adapter, session)
-            await self._serve_metrics(stack)
+            metrics = {"/metrics": self._get_metrics}
+            await stack.enter_async_context(serve_paths(cfg.metrics, metrics))
             main = asyncio.create_task(self._keep(adapter, session, stack))
             try:
                 await stop.wait()
@@ -269,14 +270,5 @@
                 goals.note(wanted.version, get_boottime())
                 log.event("version_named", model=model, version=wanted.version)
 
-    async def _serve_metrics(self, stack: AsyncExitStack) -> None:
-        app = web.Application()
-        app.router.add_get("/metrics", self._get_metrics)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        host, port = split_address(self._cfg.metrics)
-        await web.TCPSite(runner, host, port).start()
-
     async def _get_metrics(self, req: web.Request) -> web.Response:
         return web.Response(text=self._metrics.render())
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -9,12 +9,12 @@
 from marigold.core.rollout.planner import PlanHost
 from marigold.core.schema.generated.deployment import HeldModel, Runner, RunnerReport
 from marigold.core.schema.generated.records import Manifest
-from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.copies import VersionCopies
+from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.keeper import WeightKeeper
-from marigold.target.companion.neighbours import Neighbours
 from marigold.target.companion.loads import LoadReporter
 from marigold.target.companion.metrics import CompanionMetrics
+from marigold.target.companion.neighbours import Neighbours
 from marigold.target.companion.sharing import SharePlanner
 from marigold.target.companion.staging import StagedEngine
 from marigold.target.companion.switching import LAST_ORDER_S, LEAD_S, SwitchTurns
--- a/packages/target/tests/exchange_tests.py
+++ b/packages/target/tests/exchange_tests.py
@@ -4,8 +4,8 @@
 import random
 import unittest
 
-from marigold.core.schema.generated.settings import Links, WeightSettings
 from marigold.core.rollout.planner import SwarmPlanner
+from marigold.core.schema.generated.settings import Links, WeightSettings
 from marigold.standins.memory_weights import WeightStore
 from marigold.standins.swarm import Swarm
 from marigold.standins.wires import WireMap
