Keep paused processes of a fleet from being hung up on

Cause: the processes of a fleet ran in the process group of the test runner. When the shell that had started the runner as a job ends, that group is orphaned, and the system sends SIGHUP and SIGCONT to a newly orphaned group in which any process is paused. Entries that a scenario had frozen ended at that moment, and every request they held was dropped.

Change: each process of a fleet has a group of its own, whose parent is in the same session, so that it is not orphaned when the shell ends.

--- a/packages/standins/src/marigold/standins/child.py
+++ b/packages/standins/src/marigold/standins/child.py
@@ -39,6 +39,9 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=stream,
                 stderr=stream,
+                # When the shell that started this runner ends, the system hangs
+                # up on the runner's group if any process in it is paused.
+                process_group=0,
             )
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
