Do not take an answer that was reset for a whole one

Cause: an answer without length ends with its connection, and one that was reset is not whole. How the connection ended was asked of the response's connection, which the library lets go of as soon as the body has ended. When the reset came before the entry had read the body's last bytes, there was nothing to ask and the part that had come was delivered as the whole answer.

Change: the session makes responses that keep the protocol, and that is asked. The session is made beside the forwarder that relies on it.

Conclusion: a partial answer is no longer delivered as whole, however late the entry reads.

--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -14,8 +14,11 @@
     ClientTimeout,
     ConnectionTimeoutError,
 )
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from yarl import URL
 
+from marigold.core.connections import make_connector
 from marigold.core.platform.adapter import AnswerHead, Dialect, RunnerTerms
 from marigold.entry.relay.exceptions import (
     BrokenAnswerError,
@@ -49,6 +52,21 @@
         self.body = body
 
 
+class RunnerResponse(ClientResponse):
+    """A response that keeps its connection's protocol.
+
+    The library lets go of it once the body has ended, which may be before anyone
+    has read the body; how the connection ended is known by the protocol only.
+    """
+
+    protocol: ResponseHandler
+
+    async def start(self, connection: Connection) -> RunnerResponse:
+        """Begin to read the answer."""
+        self.protocol = connection.protocol
+        return await super().start(connection)
+
+
 class RunnerAnswer:
     """An answer whose head has come.
 
@@ -57,7 +75,7 @@
 
     __slots__ = ("_resp", "head", "headers", "is_framed", "status")
 
-    def __init__(self, resp: ClientResponse, head: AnswerHead) -> None:
+    def __init__(self, resp: RunnerResponse, head: AnswerHead) -> None:
         self._resp = resp
         self.head = head
         self.status = resp.status
@@ -70,17 +88,15 @@
 
         Raise `BrokenAnswerError` when the answer ends before it is whole.
         """
-        connection = self._resp.connection
-        protocol = None if connection is None else connection.protocol
         try:
             data = await self._resp.content.readany()
         except (ClientError, OSError, asyncio.IncompleteReadError) as exc:
             raise BrokenAnswerError(f"broke off: {exc!r}") from exc
-        if data or self.is_framed or protocol is None:
+        if data or self.is_framed:
             return data
         # Without a length the answer ends with its connection; one that was reset
         # is not whole, which the library does not tell apart.
-        if isinstance(protocol.exception(), ClientOSError):
+        if isinstance(self._resp.protocol.exception(), ClientOSError):
             raise BrokenAnswerError("the connection was reset")
         return data
 
@@ -100,8 +116,21 @@
         self._resp.close()
 
 
+def make_runner_session(keepalive: float) -> ClientSession:
+    """Return a session for a `Forwarder`; `keepalive` in seconds."""
+    session = ClientSession(
+        connector=make_connector(keepalive),
+        response_class=RunnerResponse,
+        auto_decompress=False,
+    )
+    # A request on a kept connection may have run; the library would send some
+    # again by itself, but whether to repeat is decided here.
+    session._retry_connection = False
+    return session
+
+
 class Forwarder:
-    """Sends requests to runners over kept connections."""
+    """Sends requests to runners over kept connections of `make_runner_session`."""
 
     def __init__(self, session: ClientSession, dialect: Dialect) -> None:
         self._session = session
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -38,7 +38,7 @@
 from marigold.entry.relay.desk import PlacementDesk
 from marigold.entry.relay.directory import RunnerDirectory
 from marigold.entry.relay.floors import VersionFloors
-from marigold.entry.relay.forwarding import Forwarder
+from marigold.entry.relay.forwarding import Forwarder, make_runner_session
 from marigold.entry.relay.freshness import KeyFreshness
 from marigold.entry.relay.front import CallerFront, CatalogueSource
 from marigold.entry.relay.metrics import RelayMetrics
@@ -107,13 +107,8 @@
                 ClientSession(connector=make_connector(STORE_KEEPALIVE_S))
             )
             runners = await stack.enter_async_context(
-                ClientSession(
-                    connector=make_connector(RUNNER_KEEPALIVE_S), auto_decompress=False
-                )
+                make_runner_session(RUNNER_KEEPALIVE_S)
             )
-            # A request on a kept connection may have run; this library would send
-            # some again by itself, but whether to repeat is decided here.
-            runners._retry_connection = False
             self._build(adapter, store, runners)
             await self._serve(stack, adapter, stop)
         log.event("relay_stopped")
