--- a/packages/standins/src/marigold/standins/shaper.py
+++ b/packages/standins/src/marigold/standins/shaper.py
@@ -13,10 +13,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from dataclasses import dataclass
 
 READ_BYTES = 16 * 1024
+LINGER_OFF = struct.pack("ii", 1, 0)
 
 
 @dataclass(slots=True)
@@ -124,6 +127,8 @@
                 asyncio.create_task(self._pump(conn, far_reader, writer, back)),
             ]
             await asyncio.wait(conn.tasks, return_when=asyncio.FIRST_COMPLETED)
+            if any(_has_failed(task) for task in conn.tasks):
+                _reset(conn.writers)
         except OSError:
             pass
         finally:
@@ -156,3 +161,15 @@
             wait += direction.free_at - now
         if wait > 0:
             await asyncio.sleep(wait)
+
+
+def _has_failed(task: asyncio.Task[None]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is not None
+
+
+def _reset(writers: list[asyncio.StreamWriter]) -> None:
+    """Pass a reset on, which must not look like an end in order."""
+    for writer in writers:
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_OFF)
+        writer.transport.abort()
