--- a/packages/standins/src/marigold/standins/shaper.py
+++ b/packages/standins/src/marigold/standins/shaper.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass
 
 READ_BYTES = 16 * 1024
+# Seconds in which connections end once they are aborted; none takes as long.
+STOP_TIMEOUT_S = 1.0
 LINGER_OFF = struct.pack("ii", 1, 0)
 
 
@@ -43,9 +45,10 @@
 
 
 class _Connection:
-    __slots__ = ("silenced", "tasks", "writers")
+    __slots__ = ("handler", "silenced", "tasks", "writers")
 
-    def __init__(self) -> None:
+    def __init__(self, handler: asyncio.Task[None]) -> None:
+        self.handler = handler
         self.silenced = False
         self.tasks: list[asyncio.Task[None]] = []
         self.writers: list[asyncio.StreamWriter] = []
@@ -105,9 +108,13 @@
         if self._server is not None:
             self._server.close()
         self.cut()
-        for conn in list(self._connections):
+        handlers = [conn.handler for conn in self._connections]
+        for conn in self._connections:
             for task in conn.tasks:
                 task.cancel()
+        # The loop may close after this, and would complain of open connections.
+        if handlers:
+            await asyncio.wait(handlers, timeout=STOP_TIMEOUT_S)
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -115,7 +122,7 @@
         if self.faults.cut:
             writer.transport.abort()
             return
-        conn = _Connection()
+        conn = _Connection(asyncio.current_task())
         conn.writers.append(writer)
         self._connections.add(conn)
         try:
