--- /dev/null
+++ b/packages/target/tests/companion_fakes.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import random
+
+from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
+from marigold.core.platform.adapter import RunnerDriver
+from marigold.core.platform.weights import compute_digest
+from marigold.core.schema.generated.deployment import HeldModel, RunnerReport
+from marigold.core.schema.generated.records import Manifest
+from marigold.target.weights.download import Download
+
+BOUND_S = 8.0
+COPY_S = 5.4
+CHUNKS = 12
+
+
+def make_manifest(version):
+    data = [b"%d-%d" % (version, index) for index in range(CHUNKS)]
+    digests = [compute_digest(item) for item in data]
+    return data, Manifest(
+        model="m",
+        version=str(version),
+        size=4 * CHUNKS,
+        chunk_size=4,
+        chunks=digests,
+        digest=f"whole-{version}",
+    )
+
+
+class FakeDriver(RunnerDriver):
+    def __init__(self):
+        self.staged = {}
+        self.orders = []
+        self.held = []
+        self.is_down = False
+        self.started_ms = 1
+
+    def _check(self):
+        if self.is_down:
+            raise PlatformUnreachableError("down")
+
+    async def get_report(self):
+        self._check()
+        return RunnerReport(
+            held=self.held,
+            is_busy=False,
+            sequence=len(self.orders),
+            running=0,
+            waiting=0,
+            started_ms=self.started_ms,
+        )
+
+    async def put_chunk(self, model, index, data):
+        self._check()
+        self.staged[index] = data
+
+    async def get_chunk(self, model, index):
+        self._check()
+        return self.staged.get(index)
+
+    async def load(self, model, version, sequence):
+        self._check()
+        self.orders.append((version, sequence, dict(self.staged)))
+        self.held = [HeldModel(model=model, version=version)]
+
+
+class FakeSource:
+    def __init__(self, *versions):
+        self.versions = set(versions)
+
+    async def get_manifest(self, model, version):
+        version = version or max(self.versions)
+        if version not in self.versions:
+            raise WeightsNotFoundError(f"{version} is gone")
+        return make_manifest(version)[1]
+
+
+class FakeExchange:
+    """An exchange whose chunks come when a test says so."""
+
+    def __init__(self):
+        self.downloads = {}
+
+    def start(self, manifest, order):
+        download = Download(manifest, order, random.Random(1))
+        self.downloads[int(manifest.version)] = download
+        return download
+
+    def change(self, download, order):
+        download.order = order
+
+    def add_held(self, download, index):
+        download.add_held(index)
+
+    async def drop(self, digest):
+        pass
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -3,12 +3,18 @@
 import asyncio
 import unittest
 
-from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
-from marigold.core.platform.adapter import RunnerDriver
-from marigold.core.platform.weights import compute_digest
-from marigold.core.rollout.planner import PlanHost
-from marigold.core.schema.generated.deployment import HeldModel, Runner, RunnerReport
-from marigold.core.schema.generated.records import Manifest
+from companion_fakes import (
+    BOUND_S,
+    CHUNKS,
+    COPY_S,
+    FakeDriver,
+    FakeExchange,
+    FakeSource,
+    make_manifest,
+)
+
+from marigold.core.exceptions import PlatformUnreachableError
+from marigold.core.schema.generated.deployment import HeldModel, Runner
 from marigold.target.companion.copies import VersionCopies
 from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.keeper import WeightKeeper
@@ -17,232 +23,9 @@
 from marigold.target.companion.neighbours import Neighbours
 from marigold.target.companion.sharing import SharePlanner
 from marigold.target.companion.staging import StagedEngine
-from marigold.target.companion.switching import LAST_ORDER_S, LEAD_S, SwitchTurns
-from marigold.target.weights.download import Download
+from marigold.target.companion.switching import SwitchTurns
 from marigold.target.weights.exceptions import EngineOrderError
 
-BOUND_S = 8.0
-COPY_S = 5.4
-CHUNKS = 12
-
-
-def make_manifest(version):
-    data = [b"%d-%d" % (version, index) for index in range(CHUNKS)]
-    digests = [compute_digest(item) for item in data]
-    return data, Manifest(
-        model="m",
-        version=str(version),
-        size=4 * CHUNKS,
-        chunk_size=4,
-        chunks=digests,
-        digest=f"whole-{version}",
-    )
-
-
-class FakeDriver(RunnerDriver):
-    def __init__(self):
-        self.staged = {}
-        self.orders = []
-        self.held = []
-        self.is_down = False
-        self.started_ms = 1
-
-    def _check(self):
-        if self.is_down:
-            raise PlatformUnreachableError("down")
-
-    async def get_report(self):
-        self._check()
-        return RunnerReport(
-            held=self.held,
-            is_busy=False,
-            sequence=len(self.orders),
-            running=0,
-            waiting=0,
-            started_ms=self.started_ms,
-        )
-
-    async def put_chunk(self, model, index, data):
-        self._check()
-        self.staged[index] = data
-
-    async def get_chunk(self, model, index):
-        self._check()
-        return self.staged.get(index)
-
-    async def load(self, model, version, sequence):
-        self._check()
-        self.orders.append((version, sequence, dict(self.staged)))
-        self.held = [HeldModel(model=model, version=version)]
-
-
-class FakeSource:
-    def __init__(self, *versions):
-        self.versions = set(versions)
-
-    async def get_manifest(self, model, version):
-        version = version or max(self.versions)
-        if version not in self.versions:
-            raise WeightsNotFoundError(f"{version} is gone")
-        return make_manifest(version)[1]
-
-
-class FakeExchange:
-    """An exchange whose chunks come when a test says so."""
-
-    def __init__(self):
-        self.downloads = {}
-
-    def start(self, manifest, order):
-        import random
-
-        download = Download(manifest, order, random.Random(1))
-        self.downloads[int(manifest.version)] = download
-        return download
-
-    def change(self, download, order):
-        download.order = order
-
-    def add_held(self, download, index):
-        download.add_held(index)
-
-    async def drop(self, digest):
-        pass
-
-
-class GoalTests(unittest.TestCase):
-    def choose(self, goals, held, leads=False):
-        chosen = goals.choose(held, lambda version: leads)
-        return [goal.version for goal in chosen]
-
-    def test_version_that_is_held_needs_nothing(self):
-        goals = VersionGoals(BOUND_S, COPY_S)
-        goals.note(1, 0.0)
-        self.assertEqual(self.choose(goals, 1), [])
-
-    def test_empty_runner_is_brought_to_the_newest(self):
-        goals = VersionGoals(BOUND_S, COPY_S)
-        goals.note(1, 0.0)
-        goals.note(2, 20.0)
-        self.assertEqual(self.choose(goals, None), [2])
-
-    def test_version_that_is_overtaken_soon_is_left_out(self):
-        goals = VersionGoals(BOUND_S, COPY_S)
-        goals.note(2, 20.0)
-        goals.note(3, 22.0)
-        self.assertEqual(self.choose(goals, 1), [3])
-
-    def test_some_lead_where_two_versions_do_not_fit(self):
-        goals = VersionGoals(BOUND_S, COPY_S)
-        goals.note(2, 20.0)
-        goals.note(3, 24.0)
-        self.assertEqual(self.choose(goals, 1), [2, 3])
-        self.assertEqual(self.choose(goals, 1, leads=True), [3])
-
-    def test_versions_far_apart_are_both_brought(self):
-        goals = VersionGoals(BOUND_S, COPY_S)
-        goals.note(2, 20.0)
-        goals.note(3, 29.0)
-        self.assertEqual(self.choose(goals, 1, leads=True), [2, 3])
-
-
-class SwitchTurnTests(unittest.TestCase):
-    runners = tuple(f"10.0.0.{number}:7" for number in range(9))
-
-    def test_turns_are_all_different_and_the_same_everywhere(self):
-        turns = SwitchTurns()
-        found = [turns.get_turn(item, self.runners, 2) for item in self.runners]
-        self.assertEqual(sorted(found), list(range(9)))
-        again = [turns.get_turn(item, self.runners[::-1], 2) for item in self.runners]
-        self.assertEqual(found, again)
-
-    def test_last_runner_switches_before_the_version_is_due(self):
-        turns = SwitchTurns()
-        starts = [turns.get_start(turn, 9, 106.0, 108.0) for turn in range(9)]
-        self.assertEqual(starts[0], 106.0)
-        self.assertLessEqual(starts[-1], 108.0 - LAST_ORDER_S + 1e-9)
-
-    def test_copies_that_are_complete_too_late_switch_at_once(self):
-        turns = SwitchTurns()
-        self.assertEqual(turns.get_start(8, 9, 109.0, 108.0), 109.0)
-
-    def test_first_runners_pause_before_their_copy_is_complete(self):
-        turns = SwitchTurns()
-        early = [turns.is_early(turn, 9, LEAD_S / 2) for turn in range(9)]
-        self.assertEqual(early, [True] * 4 + [False] * 5)
-        self.assertFalse(turns.is_early(0, 9, LEAD_S + 0.1))
-        self.assertFalse(turns.is_early(0, 2, LEAD_S / 2))
-
-    def choose_leading(self, *regions):
-        hosts = [make_host(number, item) for number, item in enumerate(regions)]
-        leading = SwitchTurns().choose_leading(hosts, "central", 3)
-        return [host for host in hosts if host.host in leading]
-
-    def test_hosts_of_the_origin_lead_where_others_can_carry_the_load(self):
-        leading = self.choose_leading("central", "east", "central", "west", "west")
-        self.assertEqual({host.region for host in leading}, {"central"})
-        self.assertEqual(len(leading), 2)
-
-    def test_a_third_leads_where_the_origin_is_elsewhere(self):
-        self.assertEqual(len(self.choose_leading(*["east"] * 9)), 3)
-        self.assertEqual(len(self.choose_leading(*["central"] * 9)), 3)
-
-
-def make_host(number, region):
-    address = f"10.0.0.{number}:7"
-    return PlanHost(address, region, address)
-
-
-class SharePlannerTests(unittest.TestCase):
-    def setUp(self):
-        self.planner = SharePlanner("central")
-        regions = ["central"] * 3 + ["east"] * 2
-        self.hosts = [make_host(number, item) for number, item in enumerate(regions)]
-
-    def plan_all(self, holding=()):
-        return {
-            host.host: self.planner.plan(host, self.hosts, holding, 96, "m/2")
-            for host in self.hosts
-        }
-
-    def test_origin_sends_each_chunk_once_and_to_its_own_region(self):
-        plans = self.plan_all()
-        chunks = [item for plan in plans.values() for item in plan.origin_chunks]
-        self.assertEqual(sorted(chunks), list(range(96)))
-        for host in self.hosts:
-            if host.region != "central":
-                self.assertEqual(plans[host.host].origin_chunks, [])
-
-    def test_each_chunk_enters_another_region_once(self):
-        plans = self.plan_all()
-        entering = [
-            chunk
-            for host in self.hosts
-            if host.region == "east"
-            for chunks in plans[host.host].remote.values()
-            for chunk in chunks
-        ]
-        self.assertEqual(sorted(entering), list(range(96)))
-
-    def test_joining_host_takes_the_version_from_hosts_of_its_region(self):
-        holder = make_host(9, "east")
-        plans = self.plan_all([holder])
-        east = [plans[host.host] for host in self.hosts if host.region == "east"]
-        for plan in east:
-            self.assertIn(holder.address, plan.sources)
-            self.assertEqual((plan.origin_chunks, plan.remote), ([], {}))
-
-    def test_region_without_a_holder_takes_each_chunk_from_another_once(self):
-        holder = make_host(9, "central")
-        plans = self.plan_all([holder])
-        entering = [
-            chunk
-            for host in self.hosts
-            if host.region == "east"
-            for chunk in plans[host.host].remote[holder.address]
-        ]
-        self.assertEqual(sorted(entering), list(range(96)))
-
 
 class StagedEngineTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
