Move the wait for a runner into a class of its own

Silence and the taking back of what has not begun are one small class that answers one question, how long an attempt waits.

--- a/packages/entry/src/marigold/entry/relay/__init__.py
+++ b/packages/entry/src/marigold/entry/relay/__init__.py
@@ -2,5 +2,6 @@
 
 Decisions take what is known and the time, and do no input or output:
 `placement`, `queueing`, `repeats`, `health`, `freshness` and `floors`. The
-modules `front`, `forwarding` and `streams` carry bytes and ask them.
+modules `front`, `forwarding` and `streams` carry bytes and ask them; `patience`
+waits for a runner.
 """
--- /dev/null
+++ b/packages/entry/src/marigold/entry/relay/patience.py
@@ -0,0 +1,77 @@
+"""How long an attempt waits for its runner."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from marigold.entry.relay.exceptions import SilentRunnerError, WithdrawnError
+from marigold.entry.relay.tickets import Ticket
+from marigold.entry.relay.views import RunnerView
+
+T = TypeVar("T")
+
+# Seconds between looks at a runner that owes bytes.
+SILENCE_CHECK_S = 0.3
+# Seconds before a runner's weights are too old at which what has not begun there is
+# taken back: a close needs as long to reach a runner of another region.
+WITHDRAW_S = 0.15
+
+
+class Patience:
+    """Waits for one attempt at a runner, and gives it up in two cases.
+
+    A runner may send nothing to anyone, as one whose link is dead, and it may not
+    have begun a stream shortly before its weights are too old to begin anything,
+    as when a burst meets a switch of versions. Both only on routes whose requests
+    may run again. `time_to_begin` is in seconds from now.
+    """
+
+    __slots__ = ("_monotonic", "_ticket", "_view", "_withdraw_at")
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        view: RunnerView,
+        time_to_begin: float,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self._ticket = ticket
+        self._view = view
+        self._monotonic = monotonic
+        # Only a stream tells that it has begun.
+        is_stream = ticket.route.is_stream
+        self._withdraw_at = (
+            monotonic() + time_to_begin - WITHDRAW_S if is_stream else math.inf
+        )
+
+    async def guard(self, call: Awaitable[T]) -> T:
+        """Await a call; raise `SilentRunnerError` or `WithdrawnError`."""
+        if not self._ticket.route.is_idempotent:
+            return await call
+        task = asyncio.ensure_future(call)
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=self._get_next_look())
+                if done:
+                    return task.result()
+                self._check()
+        finally:
+            task.cancel()
+
+    def _get_next_look(self) -> float:
+        """Return the seconds until the runner is looked at again."""
+        if self._ticket.is_started:
+            return SILENCE_CHECK_S
+        left = self._withdraw_at - self._monotonic()
+        return max(min(SILENCE_CHECK_S, left), 0.0)
+
+    def _check(self) -> None:
+        now = self._monotonic()
+        id = self._view.id
+        if not self._ticket.is_started and now >= self._withdraw_at:
+            raise WithdrawnError(f"{id}: not begun before its weights are too old")
+        if self._view.is_silent(now) and self._ticket.may_repeat():
+            raise SilentRunnerError(f"{id}: nothing came")
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 import time
-from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -23,12 +21,12 @@
     NotSentError,
     NotServedError,
     RunnerError,
-    SilentRunnerError,
     WithdrawnError,
 )
 from marigold.entry.relay.forwarding import CallerRequest, Forwarder, RunnerAnswer
 from marigold.entry.relay.health import UNREACHABLE_WEIGHT
 from marigold.entry.relay.metrics import RelayMetrics
+from marigold.entry.relay.patience import Patience
 from marigold.entry.relay.repeats import RepeatPolicy
 from marigold.entry.relay.streams import (
     EventSequence,
@@ -40,20 +38,13 @@
 
 log = get_logger(__name__)
 
-T = TypeVar("T")
-
 # Runners that a request is offered to where each could not be reached.
 UNSENT_MAXIMUM = 4
-# Seconds between looks at a runner that owes bytes.
-SILENCE_CHECK_S = 0.3
 # Retry-After when runners state that they have not run the request.
 REFUSED_RETRY_S = 0.3
 # Urgency that is added for requests that can no longer be in time.
 LATE_URGENCY = 4
 MAXIMUM_URGENCY = 9
-# Seconds before a runner's weights are too old at which what has not begun there is
-# taken back: a close needs as long to reach a runner of another region.
-WITHDRAW_S = 0.15
 # Seconds of a deadline below which nothing is worth sending.
 MINIMUM_REMAINING_S = 0.01
 # Seconds that a runner gets nothing after it stated that it is another one, or
@@ -121,7 +112,6 @@
         "_server",
         "_ticket",
         "_unsent",
-        "_withdraw_at",
         "may_have_run",
         "response",
     )
@@ -144,7 +134,6 @@
         last = head.last_event
         self._sequence = EventSequence(int(last) if last.isdigit() else None)
         self._unsent = 0
-        self._withdraw_at = math.inf
         self.may_have_run = False
         self.response: web.StreamResponse | None = None
 
@@ -233,7 +222,9 @@
         ticket.is_started = False
         ticket.sent_at = now
         ticket.sends += 1
-        self._withdraw_at = self._get_withdrawal(view, now)
+        patience = Patience(
+            ticket, view, server.desk.get_time_to_begin(ticket, view), server.monotonic
+        )
         log.routine(
             "request_sent",
             request=ticket.id,
@@ -246,8 +237,8 @@
         # From here on the runner may have run it, also when this task is ended.
         had_run, self.may_have_run = self.may_have_run, True
         try:
-            answer = await self._guard(
-                view, server.forwarder.send(view, ticket, self._req, terms)
+            answer = await patience.guard(
+                server.forwarder.send(view, ticket, self._req, terms)
             )
         except NotSentError:
             ticket.sends -= 1
@@ -257,7 +248,7 @@
             self.may_have_run = had_run
             raise
         try:
-            return await self._relay(view, answer)
+            return await self._relay(view, answer, patience)
         except BaseException:
             answer.abort()
             raise
@@ -284,52 +275,13 @@
             return None
         return max(floor, view.get_version(self._ticket.model) or 0)
 
-    async def _guard(self, view: RunnerView, call: Awaitable[T]) -> T:
-        """Await a call; give up a runner that is silent or begins too late.
-
-        Only where the request may go on at another runner.
-        """
-        if not self._ticket.route.is_idempotent:
-            return await call
-        task = asyncio.ensure_future(call)
-        try:
-            while True:
-                done, _ = await asyncio.wait({task}, timeout=self._get_patience())
-                if done:
-                    return task.result()
-                self._check_patience(view)
-        finally:
-            task.cancel()
-
-    def _get_withdrawal(self, view: RunnerView, now: float) -> float:
-        """Return when to take back what has not begun, which streams only tell."""
-        if not self._ticket.route.is_stream:
-            return math.inf
-        return (
-            now + self._server.desk.get_time_to_begin(self._ticket, view) - WITHDRAW_S
-        )
-
-    def _get_patience(self) -> float:
-        """Return the seconds until the runner is looked at again."""
-        if self._ticket.is_started:
-            return SILENCE_CHECK_S
-        left = self._withdraw_at - self._server.monotonic()
-        return max(min(SILENCE_CHECK_S, left), 0.0)
-
-    def _check_patience(self, view: RunnerView) -> None:
-        now = self._server.monotonic()
-        if not self._ticket.is_started and now >= self._withdraw_at:
-            raise WithdrawnError(f"{view.id}: not begun before its weights are too old")
-        if view.is_silent(now) and self._ticket.may_repeat():
-            raise SilentRunnerError(f"{view.id}: nothing came")
-
     async def _relay(
-        self, view: RunnerView, answer: RunnerAnswer
+        self, view: RunnerView, answer: RunnerAnswer, patience: Patience
     ) -> web.StreamResponse:
         self._note_head(view, answer)
         if self._ticket.route.is_stream and answer.status == 200:
-            return await self._relay_stream(view, answer)
-        body = await self._guard(view, answer.read_all())
+            return await self._relay_stream(view, answer, patience)
+        body = await patience.guard(answer.read_all())
         answer.finish()
         now = self._server.monotonic()
         view.note_progress(now)
@@ -372,13 +324,13 @@
         await resp.prepare(self._http)
 
     async def _relay_stream(
-        self, view: RunnerView, answer: RunnerAnswer
+        self, view: RunnerView, answer: RunnerAnswer, patience: Patience
     ) -> web.StreamResponse:
         if not answer.head.is_sealed:
             raise BrokenAnswerError(f"{view.id}: a stream without a signature")
         splitter = EventSplitter()
         while True:
-            data = await self._guard(view, answer.read())
+            data = await patience.guard(answer.read())
             view.note_progress(self._server.monotonic())
             if not data:
                 break
