--- a/packages/entry/tests/target_load_tests.py
+++ b/packages/entry/tests/target_load_tests.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
+from types import SimpleNamespace
+from unittest import mock
 
 from marigold.core.clock import HybridClock
+from marigold.core.exceptions import LinkError
 from marigold.core.links.identity import Identity
 from marigold.core.links.link import LinkContext
 from marigold.core.schema.generated.messages import (
@@ -16,9 +20,13 @@
 from marigold.core.schema.generated.settings import Links
 from marigold.entry.membership.targets import TargetConnection
 from marigold.entry.routing.calls import AttemptCall
+from marigold.entry.routing.load import REOPEN_S
+from marigold.standins.virtual_time import get_time, run_virtual
 
+DIALING = "marigold.core.links.dialing"
 
-def make_connection(on_change):
+
+def make_connection(on_change, seed=1):
     identity = Identity("entry-1", "entry", "gyor-a", 1)
     ctx = LinkContext(identity, HybridClock(), Links(), "s" * 16, Heartbeat)
     record = HostRecord(
@@ -31,7 +39,7 @@
         kind="model",
         state="live",
     )
-    return TargetConnection(record, ctx, random.Random(1), on_change)
+    return TargetConnection(record, ctx, random.Random(seed), on_change)
 
 
 def make_call(conn, attempt):
@@ -89,3 +97,73 @@
             AnswerEnd(attempt="r1.1", outcome="done", chunks=0, running=0, limit=8)
         )
         self.assertEqual(self.view.pace.failures, 0)
+
+
+class ReopeningTests(unittest.TestCase):
+    """A link is opened again while requests wait, over silence and slowness."""
+
+    def play(self, seed, seconds):
+        """Run a connection whose nth try takes `seconds(n)` seconds.
+
+        Return the times at which tries began, were given up and brought a link.
+        """
+        begun, left, opened = [], [], []
+
+        async def open_slow_link(address, ctx):
+            begun.append(get_time())
+            takes = seconds(len(begun))
+            try:
+                async with asyncio.timeout(ctx.cfg.connect_timeout):
+                    await asyncio.sleep(takes)
+            except TimeoutError:
+                raise LinkError("silent") from None
+            finally:
+                left.append(get_time())
+            return SimpleNamespace(abort=lambda: None)
+
+        async def serve(conn, link):
+            opened.append(get_time())
+            await asyncio.Event().wait()
+
+        async def main():
+            conn = make_connection(lambda: None, seed)
+            with (
+                mock.patch(f"{DIALING}.open_link", open_slow_link),
+                mock.patch.object(TargetConnection, "_serve_renewed", serve),
+            ):
+                task = asyncio.create_task(conn.run())
+                await asyncio.sleep(30.0)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+
+        run_virtual(main())
+        return begun, left, opened
+
+    def test_try_that_goes_silent_does_not_hold_up_the_next(self):
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                _, _, opened = self.play(seed, lambda n: 99.0 if n == 1 else 0.1)
+                self.assertLess(opened[0], REOPEN_S / 2)
+
+    def test_slow_host_is_reached_while_requests_wait(self):
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                _, _, opened = self.play(seed, lambda n: 0.8)
+                self.assertLess(opened[0], REOPEN_S)
+
+    def test_silent_host_is_tried_three_times_at_once_at_most(self):
+        begun, left, opened = self.play(1, lambda n: 99.0)
+        self.assertEqual(opened, [])
+        timeout = Links().connect_timeout
+        # The last ones end with the test.
+        for first, end in list(zip(begun, left, strict=True))[:-3]:
+            self.assertAlmostEqual(end - first, timeout)
+        running = [
+            sum(a <= at < b for a, b in zip(begun, left, strict=True)) for at in begun
+        ]
+        self.assertLessEqual(max(running), 3)
+
+    def test_other_tries_end_with_the_first_link(self):
+        begun, left, opened = self.play(1, lambda n: 0.8)
+        self.assertEqual(len(opened), 1)
+        self.assertEqual(left, [opened[0]] * len(begun))
--- /dev/null
+++ b/packages/standins/src/marigold/standins/bench/load_run.py
@@ -0,0 +1,331 @@
+"""One replay of `load`: callers, entries, hubs and engines in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from marigold.core.platform.adapter import LoadNote
+from marigold.core.schema.generated.deployment import HeldModel, Runner
+from marigold.entry.hub.spill import Neighbour, choose_neighbour
+from marigold.entry.relay.desk import Overflow, PlacementDesk
+from marigold.entry.relay.exceptions import NotServedError
+from marigold.entry.relay.floors import VersionFloors
+from marigold.entry.relay.queueing import Servability
+from marigold.entry.relay.tickets import Demand, Ticket
+from marigold.entry.relay.views import RunnerView
+from marigold.standins.bench.load_fleet import Fleet, Policies
+from marigold.standins.engine_model import EngineFullError, EngineReplica, Job
+from marigold.standins.virtual_time import get_time
+
+LENGTH_S = 20.0
+STEPS = ((0.0, 0.55), (6.0, 0.7), (7.5, 0.85), (9.0, 1.0))
+NOTE_INTERVAL_S = 0.2
+# When engines switch to new weights, the seconds over which they begin to, and the
+# time that loading takes.
+SWITCH_AT_S = 8.0
+SWITCH_SPREAD_S = 1.68
+LOAD_S = 0.35
+POLL_S = 0.05
+# Worth of an answer in time, and of one that is late.
+IN_TIME = 1.0
+LATE = 0.25
+
+
+class _Directory:
+    """The part of a runner directory that a desk asks."""
+
+    def __init__(self) -> None:
+        self.views: list[RunnerView] = []
+
+    def get_listed(self, service: str) -> list[RunnerView]:
+        return self.views
+
+
+class _Spill(Overflow):
+    """Tries requests at other cells; links take their time."""
+
+    def __init__(self, run: LoadRun, centre: int) -> None:
+        self._run = run
+        self._centre = centre
+        self._rng = random.Random(centre)
+        self.neighbours: dict[int, Neighbour] = {}
+        self.spilled = 0
+
+    def offer(self, demand: Demand, fut: asyncio.Future[RunnerView]) -> bool:
+        found = choose_neighbour(
+            self.neighbours.values(), demand.service, get_time(), self._rng
+        )
+        if found is None:
+            return False
+        found.take(demand.service)
+        asyncio.create_task(self._try(found, demand, fut))
+        return True
+
+    async def _try(
+        self, neighbour: Neighbour, demand: Demand, fut: asyncio.Future[RunnerView]
+    ) -> None:
+        other = int(neighbour.name)
+        delay = self._run.fleet.get_delay(self._centre, other)
+        await asyncio.sleep(delay)
+        view = self._run.desks[other].take_free(demand)
+        await asyncio.sleep(delay)
+        if view is None:
+            neighbour.close(demand.service)
+            self._run.desks[self._centre].resubmit(demand, fut)
+        elif fut.done():
+            self._run.desks[other].release(demand, view)
+        else:
+            self.spilled += 1
+            fut.set_result(view)
+
+
+class LoadRun:
+    """One replay; `worth` and the counts are there after `run`.
+
+    There is a desk for each entry, or one for each data centre.
+    """
+
+    def __init__(
+        self, fleet: Fleet, policies: Policies, seed: int, peak: float
+    ) -> None:
+        self.fleet = fleet
+        self._rng = random.Random(seed)
+        self._peak = peak
+        self._policies = policies
+        self._engines: list[EngineReplica] = []
+        count = fleet.centres if policies.is_by_cell else fleet.entries
+        self._directories = [_Directory() for _ in range(count)]
+        self._spills = [_Spill(self, number) for number in range(count)]
+        self.desks: list[PlacementDesk] = []
+        self.asked = 0
+        self.in_time = 0
+        self.late = 0
+        self.refused = 0
+        self.left = 0
+        self.turned_away = 0
+        self.waits: list[float] = []
+
+    @property
+    def worth(self) -> float:
+        """Worth earned as a part of what all requests in time would earn."""
+        return (self.in_time * IN_TIME + self.late * LATE) / max(self.asked, 1)
+
+    @property
+    def served(self) -> float:
+        """Part of the requests that were answered."""
+        return (self.in_time + self.late) / max(self.asked, 1)
+
+    def describe(self) -> str:
+        """Return the figures as key=value pairs."""
+        waits = sorted(self.waits)
+        return (
+            f"worth={self.worth:.3f} served={self.served:.4f} asked={self.asked}"
+            f" in_time={self.in_time} late={self.late} refused={self.refused}"
+            f" left={self.left} turned_away={self.turned_away}"
+            f" spilled={sum(item.spilled for item in self._spills)}"
+            f" first_p50={waits[len(waits) // 2]:.3f}"
+            f" first_p99={waits[len(waits) * 99 // 100]:.3f}"
+        )
+
+    async def run(self) -> None:
+        """Replay the whole load."""
+        for number in range(len(self._directories)):
+            self.desks.append(self._make_desk(number))
+        tasks = [asyncio.create_task(desk.run()) for desk in self.desks]
+        if self._policies.is_by_cell:
+            tasks.append(asyncio.create_task(self._tell_free()))
+        for number in range(self.fleet.engines):
+            tasks.append(self._add_engine(number))
+        tasks.append(asyncio.create_task(self._add_late()))
+        callers = []
+        while get_time() < LENGTH_S:
+            await asyncio.sleep(self._rng.expovariate(self._peak * self._get_part()))
+            self.asked += 1
+            callers.append(asyncio.create_task(self._call()))
+        await asyncio.gather(*callers)
+        for task in tasks:
+            task.cancel()
+
+    def _get_part(self) -> float:
+        now = get_time()
+        return [part for since, part in STEPS if since <= now][-1]
+
+    def _make_desk(self, number: int) -> PlacementDesk:
+        return PlacementDesk(
+            self._directories[number],
+            self._policies.make_placement(),
+            self._policies.make_order(),
+            Servability(),
+            VersionFloors(8.0),
+            lambda service: self.fleet.model,
+            random.Random(self._rng.random()),
+            get_time,
+            get_time,
+            self._spills[number] if self._policies.is_by_cell else None,
+        )
+
+    def _add_engine(self, number: int) -> asyncio.Task[None]:
+        engine = EngineReplica(self.fleet.model)
+        centre = self.fleet.get_centre(number)
+        runner = Runner(
+            id=f"i{number}",
+            service="model",
+            address="",
+            data_centre=str(centre),
+            slots=self.fleet.model.slots,
+            is_draining=False,
+            is_engine=True,
+            held=[HeldModel(model="assistant", version=1)],
+        )
+        self._engines.append(engine)
+        views = {}
+        for place, directory in enumerate(self._directories):
+            if not self._policies.is_by_cell or place == centre:
+                views[place] = RunnerView(runner, str(centre))
+                directory.views.append(views[place])
+        asyncio.create_task(self._tell_load(engine, views))
+        return asyncio.create_task(engine.run())
+
+    async def _add_late(self) -> None:
+        await asyncio.sleep(self.fleet.added_at)
+        for number in range(self.fleet.engines, self.fleet.engines + self.fleet.added):
+            self._add_engine(number)
+
+    async def _tell_load(
+        self, engine: EngineReplica, views: dict[int, RunnerView]
+    ) -> None:
+        await asyncio.sleep(self._rng.random() * NOTE_INTERVAL_S)
+        while get_time() < LENGTH_S:
+            await asyncio.sleep(NOTE_INTERVAL_S)
+            note = LoadNote(engine.running, engine.waiting, self.fleet.model.slots)
+            for place, view in views.items():
+                view.note_progress(get_time())
+                view.note_load(note, get_time())
+                self.desks[place].pump("model", view)
+
+    async def _tell_free(self) -> None:
+        while True:
+            await asyncio.sleep(NOTE_INTERVAL_S)
+            free = [desk.count_free("model") for desk in self.desks]
+            for place, spill in enumerate(self._spills):
+                for other, places in enumerate(free):
+                    if other != place:
+                        item = spill.neighbours.setdefault(other, Neighbour(str(other)))
+                        item.note({"model": places}, get_time())
+
+    def _choose_entry(self) -> int:
+        fleet = self.fleet
+        centre = self._rng.choices(range(fleet.centres), fleet.shares)[0]
+        return self._rng.randrange(centre, fleet.entries, fleet.centres)
+
+    async def _call(self) -> None:
+        asked_at = get_time()
+        prompt = max(int(self._rng.lognormvariate(6.6, 0.6)), 40)
+        mean_log = 4.5 if self.fleet.centres == 1 else 4.25
+        answer = min(max(int(self._rng.lognormvariate(mean_log, 0.7)), 6), 360)
+        for attempt in range(2):
+            entry = self._choose_entry()
+            retry_after = await self._try(entry, asked_at, prompt, answer)
+            if retry_after is None:
+                return
+            if attempt == 0:
+                await asyncio.sleep(min(retry_after, 2.0))
+        self.refused += 1
+
+    async def _try(
+        self, entry: int, asked_at: float, prompt: int, answer: int
+    ) -> float | None:
+        """Make one attempt; return Retry-After when it is refused."""
+        fleet = self.fleet
+        route = fleet.route
+        centre = fleet.get_centre(entry)
+        desk = self.desks[centre if self._policies.is_by_cell else entry]
+        hop = fleet.delay_near if self._policies.is_by_cell else 0.0
+        left = route.timeout - (get_time() - asked_at)
+        ticket = Ticket(
+            "r", "model", route, get_time(), left, "", None, "assistant", prompt
+        )
+        ticket.data_centre = ticket.region = str(centre)
+        await asyncio.sleep(hop)
+        try:
+            view = await desk.acquire(ticket)
+        except NotServedError as exc:
+            return exc.retry_after or 0.0
+        place = int(view.runner.data_centre)
+        if self._policies.is_by_cell:
+            desk = self.desks[place]
+        delay = fleet.get_delay(centre, place)
+        await asyncio.sleep(hop + delay)
+        try:
+            engine = self._engines[int(view.id[1:])]
+            job = engine.submit(prompt, answer, ticket.precedence)
+            await self._read(job, ticket, asked_at, delay + hop)
+        except EngineFullError:
+            self.turned_away += 1
+            desk.block(view)
+            return 0.3
+        finally:
+            await asyncio.sleep(delay + hop)
+            desk.release(ticket, view)
+        return None
+
+    async def _read(
+        self, job: Job, ticket: Ticket, asked_at: float, delay: float
+    ) -> None:
+        try:
+            async with asyncio.timeout(ticket.start_by - get_time()):
+                await job.first.wait()
+        except TimeoutError:
+            job.is_cancelled = True
+            self.left += 1
+            return
+        await asyncio.sleep(delay)
+        ticket.is_started = True
+        self.waits.append(get_time() - asked_at)
+        is_in_time = get_time() - asked_at <= ticket.route.target_latency
+        await job.done.wait()
+        self.in_time += is_in_time
+        self.late += not is_in_time
+
+
+class SwitchingRun(LoadRun):
+    """A replay in which all engines load new weights, one after another.
+
+    Each pauses, ends what it runs, loads, and takes requests again.
+    """
+
+    async def run(self) -> None:
+        """Replay the whole load."""
+        switching = asyncio.create_task(self._switch_all())
+        await super().run()
+        await switching
+
+    def _get_part(self) -> float:
+        return 1.0
+
+    async def _add_late(self) -> None:
+        for number in range(self.fleet.engines, self.fleet.engines + self.fleet.added):
+            self._add_engine(number)
+
+    async def _switch_all(self) -> None:
+        await asyncio.sleep(SWITCH_AT_S)
+        count = self.fleet.engines + self.fleet.added
+        gap = SWITCH_SPREAD_S / count
+        switches = [self._switch(number, number * gap) for number in range(count)]
+        await asyncio.gather(*switches)
+
+    async def _switch(self, number: int, delay: float) -> None:
+        await asyncio.sleep(delay)
+        engine = self._engines[number]
+        self._pause(number, True)
+        while engine.running or engine.waiting:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LOAD_S)
+        self._pause(number, False)
+
+    def _pause(self, number: int, is_paused: bool) -> None:
+        for directory in self._directories:
+            for view in directory.views:
+                if view.id == f"i{number}":
+                    view.is_paused = is_paused
--- a/packages/standins/src/marigold/standins/shaper.py
+++ b/packages/standins/src/marigold/standins/shaper.py
@@ -21,6 +21,8 @@
 READ_BYTES = 16 * 1024
 # Seconds in which connections end once they are aborted; none takes as long.
 STOP_TIMEOUT_S = 1.0
+# Seconds between looks whether a frozen link passes again.
+FROZEN_LOOK_S = 0.02
 LINGER_OFF = struct.pack("ii", 1, 0)
 
 
@@ -153,13 +155,20 @@
         direction: Direction,
     ) -> None:
         while data := await reader.read(READ_BYTES):
-            while conn.silenced or self.faults.frozen:
-                await asyncio.sleep(0.02)
+            await self._await_passage(conn)
             await self._delay(direction, len(data))
             direction.bytes += len(data)
             writer.write(data)
             await writer.drain()
 
+    async def _await_passage(self, conn: _Connection) -> None:
+        """Wait while the link is frozen, and for good on a silenced connection."""
+        while self.faults.frozen and not conn.silenced:
+            await asyncio.sleep(FROZEN_LOOK_S)
+        if conn.silenced:
+            # Hundreds of them that looked again and again held up the open ones.
+            await asyncio.Event().wait()
+
     async def _delay(self, direction: Direction, size: int) -> None:
         wait = self.faults.latency
         if self.faults.rate:
--- a/packages/standins/src/marigold/standins/swarm.py
+++ b/packages/standins/src/marigold/standins/swarm.py
@@ -28,7 +28,7 @@
 from marigold.standins.wires import WireMap, WireRelay
 from marigold.target.weights.download import Download
 from marigold.target.weights.exchange import WeightExchange
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
 
 SECRET = "link-secret-of-the-swarm"
 
@@ -62,7 +62,7 @@
             swarm.cfg,
             self.engine,
             MemoryOrigin(swarm.store, swarm.wires, name),
-            UploadPacer(swarm.cfg.upload_rate, lambda: False),
+            RatePacer(swarm.cfg.upload_rate, lambda: False),
             random.Random(f"{swarm.seed}/{name}"),
         )
 
--- a/packages/target/src/marigold/target/__main__.py
+++ b/packages/target/src/marigold/target/__main__.py
@@ -1,13 +1,14 @@
-"""Command line of marigold-target."""
+"""Command line of marigold-target.
+
+Each command imports its own module, so that a start takes in only what it runs.
+"""
 
 from __future__ import annotations
 
 import click
 
+import marigold.core.boottime  # noqa: F401  (notes when the process began to load)
 from marigold.core.commands import OVERRIDES, SETTINGS, UserErrorGroup
-from marigold.target.commands.check import check_settings
-from marigold.target.commands.companion import run_companion
-from marigold.target.commands.run import run_target
 
 
 @click.group(cls=UserErrorGroup)
@@ -26,6 +27,8 @@
 
     Example: marigold-target run target.yaml
     """
+    from marigold.target.commands.run import run_target
+
     run_target(settings, overrides)
 
 
@@ -37,6 +40,8 @@
 
     Example: marigold-target companion companion.yaml
     """
+    from marigold.target.commands.companion import run_companion
+
     run_companion(settings, overrides)
 
 
@@ -48,6 +53,8 @@
 
     Example: marigold-target check target.yaml
     """
+    from marigold.target.commands.check import check_settings
+
     check_settings(settings, overrides)
 
 
--- a/packages/target/src/marigold/target/companion/copies.py
+++ b/packages/target/src/marigold/target/companion/copies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -23,6 +24,18 @@
 # Versions whose chunks are kept in memory: the one in force, the next and, while
 # that one spreads, the one after.
 KEPT_VERSIONS = 3
+# What the origin's first copy may take beyond its rate, as a ratio and in seconds,
+# until others than the planned hosts ask it.
+PLANNED_STRETCH = 1.3
+PLANNED_MARGIN_S = 0.5
+# Part of what other regions are to pass on that they have once the origin has begun to
+# send a version for good; it may have been about to go away before.
+OFFERED_PART = 0.2
+# Seconds that a version which others hold may bring nothing.
+HELD_PATIENCE_S = 2.0
+# Seconds without any chunk after which nobody can say when a copy will be complete;
+# chunks come about every tenth of a second.
+QUIET_S = 1.0
 
 
 class VersionCopies:
@@ -55,6 +68,10 @@
         self._downloads: dict[int, Download] = {}
         self._recovered: set[int] = set()
         self._started_at: dict[int, float] = {}
+        self._offered_at: dict[int, float] = {}
+        self._leading: set[str] = set()
+        self._leading_key: tuple[int, int] | None = None
+        self._planned: dict[int, tuple[object, ...]] = {}
 
     def find(self, version: int) -> Download | None:
         """Return the copy of a version, None before it was begun."""
@@ -65,9 +82,13 @@
         return self._is_leading(self._neighbours.own.host, version)
 
     def _is_leading(self, host: str, version: int) -> bool:
-        hosts = self._neighbours.get_all()
-        region = self._planner.origin_region
-        return host in self._turns.choose_leading(hosts, region, version)
+        key = (self._neighbours.refresh(), version)
+        if self._leading_key != key:
+            hosts = self._neighbours.get_all()
+            region = self._planner.origin_region
+            self._leading = self._turns.choose_leading(hosts, region, version)
+            self._leading_key = key
+        return host in self._leading
 
     def halt_others(self, wanted: set[int]) -> None:
         """Fetch nothing for versions that are not wanted; pass on what is held."""
@@ -148,6 +169,16 @@
         log.event("staged_recovered", version=version, chunks=found)
 
     def _follow_hosts(self, download: Download) -> None:
+        version = int(download.manifest.version)
+        # A plan over all hosts takes milliseconds, and each look asks for one.
+        key = (
+            self._neighbours.refresh(),
+            self._goals.revision,
+            self._is_origin_free(version),
+        )
+        if self._planned.get(version) == key:
+            return
+        self._planned[version] = key
         order = self._make_order(download.manifest)
         known = download.order
         if _get_parts(order) != _get_parts(known):
@@ -180,26 +211,71 @@
         )
 
     def _is_origin_free(self, version: int) -> bool:
-        """Tell whether the origin has had the time to send its one copy."""
-        named_at = self._goals.get_named_at(version)
+        """Tell whether the origin has had the time to send its one copy.
+
+        It has not begun where other regions have nothing yet; asked by all of them
+        when it is back from an outage, it sends every copy late.
+        """
+        download = self._downloads.get(version)
         if (
-            named_at is None
+            download is None
             or self._neighbours.own.region == self._planner.origin_region
         ):
             return False
-        return self._clock() >= named_at + self._planner.first_copy_time
+        now = self._clock()
+        if version not in self._offered_at:
+            if download.get_offered_part() < OFFERED_PART:
+                return False
+            self._offered_at[version] = now
+        rest = (1.0 - OFFERED_PART) * self._get_planned_time()
+        return now >= self._offered_at[version] + rest
+
+    def _get_planned_time(self) -> float:
+        """Return the seconds in which the origin sends what was planned."""
+        return self._planner.first_copy_time * PLANNED_STRETCH + PLANNED_MARGIN_S
+
+    def get_near_needing(self, version: str) -> list[str]:
+        """Return the hosts of the own region that are to bring a version."""
+        region = self._neighbours.own.region
+        fetching = self._get_fetching(int(version))
+        return [item.host for item in fetching if item.region == region]
+
+    def get_delay(self, version: str) -> float:
+        """Return the seconds by which a copy is later than planned, or less than 0.
+
+        The plan begins anew when the origin fails.
+        """
+        number = int(version)
+        now = self._clock()
+        if self._neighbours.get_holding(number):
+            started_at = self._started_at.get(number, now)
+            return now - started_at - HELD_PATIENCE_S
+        named_at = self._goals.get_named_at(number)
+        begun_at = max(
+            now if named_at is None else named_at,
+            now - self._exchange.get_origin_failure_age(),
+        )
+        return now - begun_at - self._get_planned_time()
 
     async def _forget_old(self) -> None:
         for version in sorted(self._downloads)[:-KEPT_VERSIONS]:
             download = self._downloads.pop(version)
+            for notes in (self._started_at, self._offered_at, self._planned):
+                notes.pop(version, None)
             await self._exchange.drop(download.digest)
             await self._engine.unload(str(version), 0)
 
     def estimate_rest(self, download: Download) -> float:
-        """Return the seconds until a copy is complete, at its pace so far."""
+        """Return the seconds until a copy is complete, at its pace so far.
+
+        Infinite where nothing has come for a while: what is left may hang on one
+        host, or on the origin.
+        """
         missing = len(download.missing)
         if not missing:
             return 0.0
+        if download.get_quiet_time() >= QUIET_S:
+            return math.inf
         version = int(download.manifest.version)
         elapsed = self._clock() - self._started_at.get(version, self._clock())
         return missing * elapsed / max(len(download.held), 1)
--- /dev/null
+++ b/packages/target/src/marigold/target/companion/following.py
@@ -0,0 +1,131 @@
+"""Where a companion's beliefs come from: a hub that is linked to it, or the store.
+
+The hub of the cell opens the link. A companion that no hub is linked to for a while
+follows the store itself, so that weights spread without any entry.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from marigold.core.boottime import get_boottime
+from marigold.core.lifecycle import cancel_tasks
+from marigold.core.links.channels import Channel
+from marigold.core.logging import get_logger
+from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.spreading import BeliefReceiver, BeliefReceivers
+from marigold.core.schema.generated.messages import (
+    Ages,
+    AskAges,
+    BeliefChange,
+    ManifestAnswer,
+    ManifestAsk,
+)
+
+log = get_logger(__name__)
+
+# Seconds without a hub after which the store is followed: entries of a new
+# deployment find each other in about two.
+HUBLESS_S = 4.0
+LOOK_S = 0.5
+# Seconds between questions for the age of what the hub tells.
+AGES_INTERVAL_S = 2.0
+
+
+class BeliefSource:
+    """Keeps beliefs up to date through whichever way there is.
+
+    `followers` are the beliefs, each with its receiver.
+    """
+
+    def __init__(
+        self, followers: Sequence[tuple[FeedFollower[Any], BeliefReceiver[Any]]]
+    ) -> None:
+        self._followers = [follower for follower, _ in followers]
+        self._receivers = BeliefReceivers(item for _, item in followers)
+        self._hubs: list[Channel] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._alone_since = get_boottime()
+        self._manifests: list[tuple[ManifestAsk, asyncio.Future[ManifestAnswer]]] = []
+
+    @property
+    def has_hub(self) -> bool:
+        """Tell whether a hub is linked to this process."""
+        return bool(self._hubs)
+
+    async def ask_manifest(self, ask: ManifestAsk) -> ManifestAnswer:
+        """Return the hub's answer; it may never come."""
+        fut: asyncio.Future[ManifestAnswer] = asyncio.Future()
+        item = (ask, fut)
+        self._manifests.append(item)
+        self._hubs[-1].put(ask)
+        try:
+            return await fut
+        finally:
+            self._manifests.remove(item)
+
+    def _take_manifest(self, answer: ManifestAnswer) -> None:
+        for ask, fut in self._manifests:
+            is_fitting = (answer.model, answer.version) == (ask.model, ask.version)
+            if is_fitting and not fut.done():
+                fut.set_result(answer)
+
+    async def run(self) -> None:
+        """Ask the hub for ages, or follow the store, until cancelled."""
+        asked_at = 0.0
+        try:
+            while True:
+                await asyncio.sleep(LOOK_S)
+                now = get_boottime()
+                if self._hubs and now - asked_at >= AGES_INTERVAL_S:
+                    asked_at = now
+                    self._hubs[-1].put(AskAges(sent=now))
+                is_alone = not self._hubs and now - self._alone_since >= HUBLESS_S
+                self._watch(is_alone or (bool(self._tasks) and not self._hubs))
+        finally:
+            await cancel_tasks(*self._tasks)
+
+    def _watch(self, is_watching: bool) -> None:
+        if is_watching == bool(self._tasks):
+            return
+        log.event("store_watched" if is_watching else "store_unwatched")
+        if is_watching:
+            self._tasks = [asyncio.create_task(item.run()) for item in self._followers]
+            return
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
+
+    def attach(self, hub: Channel) -> None:
+        """Follow a hub from now on."""
+        self._hubs.append(hub)
+        log.event("hub_attached", hub=hub.peer.process)
+        self._begin(hub)
+
+    def detach(self, hub: Channel) -> None:
+        """Go on with the hub before, or by itself."""
+        was_current = hub is self._hubs[-1]
+        self._hubs.remove(hub)
+        log.event("hub_lost", hub=hub.peer.process)
+        if not self._hubs:
+            self._alone_since = get_boottime()
+        elif was_current:
+            self._begin(self._hubs[-1])
+
+    def _begin(self, hub: Channel) -> None:
+        self._receivers.begin(hub)
+        hub.put(AskAges(sent=get_boottime()))
+
+    def take(self, hub: Channel, message: Any) -> None:
+        """Take in a message of a hub."""
+        if not self._hubs or hub is not self._hubs[-1]:
+            return
+        match message:
+            case BeliefChange():
+                self._receivers.take(hub, message)
+            case ManifestAnswer():
+                self._take_manifest(message)
+            case Ages():
+                self._receivers.confirm(message)
--- a/packages/target/src/marigold/target/companion/goals.py
+++ b/packages/target/src/marigold/target/companion/goals.py
@@ -41,16 +41,17 @@
     """The named versions of one model; times are boot times in seconds.
 
     `bound` is the time that a version has, `copy_time` what one copy over this
-    host's link takes at the least.
+    host's link takes at the least. `revision` counts changes.
     """
 
-    __slots__ = ("_bound", "_copy_time", "_given_up", "_goals")
+    __slots__ = ("_bound", "_copy_time", "_given_up", "_goals", "revision")
 
     def __init__(self, bound: float, copy_time: float) -> None:
         self._bound = bound
         self._copy_time = copy_time * SWARM_STRETCH
         self._goals: dict[int, Goal] = {}
         self._given_up: set[int] = set()
+        self.revision = 0
 
     def note(self, version: int, now: float) -> None:
         """Take in a version that operators named, or that other runners hold."""
@@ -62,11 +63,25 @@
         if unfinished:
             self._decide(goal, unfinished)
         self._goals[version] = goal
+        self.revision += 1
+
+    def get_needed_at(self, version: int, held: int | None) -> float:
+        """Return when a runner has to hold a version, by boot time.
+
+        From when any version newer than what it holds is due, that may begin nothing.
+        """
+        due = [
+            goal.due_at
+            for goal in self._goals.values()
+            if (held or version - 1) < goal.version <= version
+        ]
+        return min(due)
 
     def give_up(self, version: int) -> None:
         """Forget a version that cannot be had any more."""
         self._goals.pop(version, None)
         self._given_up.add(version)
+        self.revision += 1
 
     def get_newest(self) -> int | None:
         """Return the newest version, None before any is known."""
--- a/packages/target/src/marigold/target/companion/keeper.py
+++ b/packages/target/src/marigold/target/companion/keeper.py
@@ -30,8 +30,10 @@
 
 log = get_logger(__name__)
 
-# Seconds between looks at the runner and the store's news.
+# Seconds between looks at the runner while a version is on its way, and otherwise; the
+# load is reported as often.
 LOOK_S = 0.1
+CALM_LOOK_S = 0.2
 # Seconds for which entries hear that the runner pauses before it is ordered to.
 NOTICE_S = 0.02
 # Seconds after the start in which runners that hold a version are listed; where
@@ -76,6 +78,7 @@
         self._started_at = clock()
         self._unlisted: set[int] = set()
         self._is_reachable = True
+        self._is_copying = True
         self._pausing: int | None = None
         self._started_ms = 0
         self.report: RunnerReport | None = None
@@ -87,7 +90,8 @@
                 await self._look()
             except (PlatformError, ManifestError, EngineOrderError) as exc:
                 self._note_unreachable(exc)
-            await asyncio.sleep(LOOK_S)
+            is_calm = self._pausing is None and not self._is_copying
+            await asyncio.sleep(CALM_LOOK_S if is_calm else LOOK_S)
 
     def _note_unreachable(self, exc: Exception) -> None:
         if self._is_reachable:
@@ -103,6 +107,7 @@
         own = get_held_version(report.held)
         await self._offer(own)
         goals = await self._copy_next(own)
+        self._is_copying = bool(goals)
         if not goals or report.is_busy:
             return
         goal = goals[0]
@@ -194,6 +199,7 @@
                 waiting=report.waiting,
                 paused=self._pausing is not None,
                 version=version or 0,
+                pace=round(report.pace, 2),
             )
         )
 
@@ -205,13 +211,16 @@
         count = len(needing)
         own_host = self._neighbours.own.host
         turn = self._turns.get_turn(own_host, needing, goal.version)
+        now = self._clock()
+        expected_at = goal.named_at + self._copy_time * SWARM_STRETCH
+        needed_at = self._goals.get_needed_at(goal.version, own)
         if not download.is_complete():
-            return self._turns.is_early(
-                turn, count, self._copies.estimate_rest(download)
-            )
-        complete_at = goal.named_at + self._copy_time * SWARM_STRETCH
-        start = self._turns.get_start(turn, count, complete_at, goal.due_at)
-        return self._clock() >= start
+            rest = self._copies.estimate_rest(download)
+            lead = self._turns.get_lead(max(expected_at, now + rest), needed_at)
+            return self._turns.is_early(turn, count, rest, lead)
+        # Copies that are late are so for most hosts.
+        complete_at = max(expected_at, now - download.get_quiet_time())
+        return now >= self._turns.get_start(turn, count, complete_at, needed_at)
 
     def _is_stalled(self, download: Download) -> bool:
         return self._copies.estimate_rest(download) > STALLED_S
@@ -220,19 +229,20 @@
         """Tell entries that the runner takes no more requests for a while."""
         self._pausing = version
         self._take_report(report)
-        await self._loads.report()
+        self._loads.report()
         await asyncio.sleep(NOTICE_S)
 
     async def _load(self, goal: Goal, download: Download, report: RunnerReport) -> None:
         """Order the paused runner to load."""
         self._metrics.copy_time.record(self._clock() - goal.named_at)
+        needed_at = self._goals.get_needed_at(goal.version, self._get_own_version())
         log.event(
             "load_ordered",
             model=self._model,
             version=goal.version,
             sequence=report.sequence,
             running=report.running,
-            due_in=goal.due_at - self._clock(),
+            needed_in=needed_at - self._clock(),
         )
         try:
             await self._engine.load(download.manifest, report.sequence)
--- a/packages/target/src/marigold/target/companion/neighbours.py
+++ b/packages/target/src/marigold/target/companion/neighbours.py
@@ -16,10 +16,19 @@
 class Neighbours:
     """The runners of this host's service, as the store lists them.
 
-    `get_runners` returns them by the address of their companion.
+    `get_runners` returns them by the address of their companion, and `get_revision`
+    a number that changes with them; hosts are sorted out once for each.
     """
 
-    __slots__ = ("_get_runners", "_regions", "own")
+    __slots__ = (
+        "_get_revision",
+        "_get_runners",
+        "_held",
+        "_hosts",
+        "_regions",
+        "own",
+        "revision",
+    )
 
     def __init__(
         self,
@@ -27,34 +36,48 @@
         data_centre: str,
         regions: Mapping[str, str],
         get_runners: Callable[[], dict[str, Runner]],
+        get_revision: Callable[[], int],
     ) -> None:
         self._regions = regions
         self._get_runners = get_runners
+        self._get_revision = get_revision
+        self._hosts: list[PlanHost] = []
+        self._held: list[int] = []
+        self.revision = -1
         self.own = self._make_host(address, data_centre)
 
     def _make_host(self, address: str, data_centre: str) -> PlanHost:
         region = self._regions.get(data_centre, data_centre)
         return PlanHost(address, region, address)
 
+    def refresh(self) -> int:
+        """Follow the list of runners; return the revision that is known then."""
+        revision = self._get_revision()
+        if revision != self.revision:
+            self.revision = revision
+            runners = self._get_runners()
+            self._hosts = [
+                self._make_host(address, runner.data_centre)
+                for address, runner in runners.items()
+            ]
+            self._held = [
+                get_held_version(runner.held) or 0 for runner in runners.values()
+            ]
+        return revision
+
     def get_all(self) -> list[PlanHost]:
         """Return the companions of all listed runners."""
-        return [
-            self._make_host(address, runner.data_centre)
-            for address, runner in self._get_runners().items()
-        ]
+        self.refresh()
+        return self._hosts
 
     def get_holding(self, version: int) -> list[PlanHost]:
         """Return the companions whose runners hold a version in whole."""
-        return [
-            self._make_host(address, runner.data_centre)
-            for address, runner in self._get_runners().items()
-            if get_held_version(runner.held) == version
-        ]
+        self.refresh()
+        pairs = zip(self._hosts, self._held, strict=True)
+        return [host for host, held in pairs if held == version]
 
     def get_needing(self, version: int) -> list[PlanHost]:
         """Return the companions whose runners hold an older version or none."""
-        return [
-            self._make_host(address, runner.data_centre)
-            for address, runner in self._get_runners().items()
-            if (get_held_version(runner.held) or 0) < version
-        ]
+        self.refresh()
+        pairs = zip(self._hosts, self._held, strict=True)
+        return [host for host, held in pairs if held < version]
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -13,12 +13,24 @@
 from marigold.core.clock import HybridClock
 from marigold.core.connections import make_connector, split_address
 from marigold.core.lifecycle import Process, cancel_tasks
+from marigold.core.links.channels import Channel, LinkChannel
 from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.links.link import Link, LinkContext
 from marigold.core.links.transport import open_link, serve_links
 from marigold.core.logging import configure_bounded_logging, get_logger
-from marigold.core.platform.adapter import Adapter, load_adapter
+from marigold.core.platform.adapter import (
+    Adapter,
+    RunnerDriver,
+    WeightSource,
+    load_adapter,
+)
 from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.spreading import (
+    SERVICE,
+    BeliefReceiver,
+    ConfigurationCodec,
+    ItemCodec,
+)
 from marigold.core.schema.generated.deployment import (
     Configuration,
     Runner,
@@ -34,16 +46,19 @@
 )
 from marigold.core.serving import serve_paths
 from marigold.target.companion.copies import VersionCopies
+from marigold.target.companion.following import BeliefSource
 from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.keeper import WeightKeeper
 from marigold.target.companion.loads import LoadReporter
+from marigold.target.companion.manifests import HubManifests
 from marigold.target.companion.metrics import CompanionMetrics
 from marigold.target.companion.neighbours import Neighbours, get_held_version
 from marigold.target.companion.sharing import SharePlanner
 from marigold.target.companion.staging import StagedEngine
 from marigold.target.companion.switching import SwitchTurns
 from marigold.target.weights.exchange import WeightExchange
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
+from marigold.target.weights.rescue import TurnRescue
 from marigold.target.weights.uploads import UploadBudget
 
 log = get_logger(__name__)
@@ -60,10 +75,16 @@
 CHUNK_TIMEOUT_S = 4.0
 # Seconds without any chunk after which more are asked of the origin.
 RESCUE_AFTER_S = 1.0
+# Seconds between the first and the second host of a region that may ask the origin for
+# a chunk that was planned for another.
+RESCUE_STEP_S = 1.0
 # Seconds after which a source that gave nothing is asked again at the latest; an
 # origin that was away is missed from its first moment on.
 SOURCE_RETRY_S = 0.3
-PARALLEL_CHUNKS = 3
+PARALLEL_CHUNKS = 6
+# Part of the host's link that fetches take; prompts of callers need the rest, and wait
+# behind chunks that come faster than the link takes them.
+DOWNLOAD_PART = 0.85
 # Bytes of a chunk that are sent in one go; they hold up live answers for 18 ms on a
 # link of 3.65 Mbit/s.
 PART_BYTES = 8 * 1024
@@ -90,6 +111,7 @@
         self._rng = random.Random(cfg.seed or None)
         self._clock = HybridClock()
         self._metrics = CompanionMetrics()
+        self._exchange: WeightExchange | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
         """Keep the runner's weights until `stop` is set."""
@@ -106,56 +128,57 @@
             session = await stack.enter_async_context(
                 ClientSession(connector=make_connector(KEEPALIVE_S))
             )
-            feeds = self._follow(adapter, session)
+            source = self._follow(adapter, session)
+            following = asyncio.create_task(source.run())
             metrics = {"/metrics": self._get_metrics}
             await stack.enter_async_context(serve_paths(cfg.metrics, metrics))
-            main = asyncio.create_task(self._keep(adapter, session, stack))
+            main = asyncio.create_task(self._keep(adapter, session, source))
             try:
                 await stop.wait()
             finally:
-                await cancel_tasks(main, *feeds)
+                await cancel_tasks(main, following)
         log.event("companion_stopped")
         output.close()
 
-    def _follow(
-        self, adapter: Adapter, session: ClientSession
-    ) -> list[asyncio.Task[None]]:
+    def _follow(self, adapter: Adapter, session: ClientSession) -> BeliefSource:
         access = self._cfg.platform
+        timeout = access.call_timeout
         self._configurations: FeedFollower[Configuration] = FeedFollower(
             adapter.make_configuration_feed(session, is_stale=True),
             CONFIGURATION_WAIT_S,
-            access.call_timeout,
+            timeout,
             self._rng,
         )
         self._runners: FeedFollower[Runner] = FeedFollower(
             adapter.make_runner_feed(session, is_stale=True),
             RUNNER_WAIT_S,
-            access.call_timeout,
+            timeout,
             self._rng,
             gather=RUNNER_GATHER_S,
         )
         self._versions: FeedFollower[WantedVersion] = FeedFollower(
-            adapter.make_version_feed(session),
-            access.watch_wait,
-            access.call_timeout,
-            self._rng,
+            adapter.make_version_feed(session), access.watch_wait, timeout, self._rng
+        )
+        services = BeliefReceiver(
+            "configuration", self._configurations, ConfigurationCodec(), SERVICE
+        )
+        runners = BeliefReceiver("runners", self._runners, ItemCodec(Runner))
+        versions = BeliefReceiver(
+            "versions", self._versions, ItemCodec(WantedVersion, is_dated=True)
+        )
+        return BeliefSource(
+            [
+                (self._configurations, services),
+                (self._runners, runners),
+                (self._versions, versions),
+            ]
         )
-        feeds = (self._configurations, self._runners, self._versions)
-        return [asyncio.create_task(feed.run()) for feed in feeds]
 
     async def _keep(
-        self, adapter: Adapter, session: ClientSession, stack: AsyncExitStack
+        self, adapter: Adapter, session: ClientSession, beliefs: BeliefSource
     ) -> None:
+        """Serve links at once, as a hub tells what else is to be known."""
         cfg = self._cfg
-        model, origin, size = await self._find_model()
-        region = cfg.regions.get(origin.data_centre, origin.data_centre)
-        driver = adapter.make_runner_driver(session, cfg.runner)
-        source = adapter.make_weight_source(session, origin.address)
-        engine = StagedEngine(driver, model)
-        rate = cfg.link_mbps * BYTES_PER_MEGABIT
-        copy_time = size / (rate * PAYLOAD_PART)
-        origin_rate = origin.bytes_per_second or rate
-        first_copy_time = size / (origin_rate * PAYLOAD_PART)
         ctx = LinkContext(
             Identity(cfg.process, "target", cfg.data_centre, make_incarnation()),
             self._clock,
@@ -163,7 +186,61 @@
             "",
             lambda: Heartbeat(generation=0),
         )
-        exchange = WeightExchange(
+        loads = LoadReporter()
+        host, port = split_address(cfg.peers)
+
+        async def serve(link: Link) -> None:
+            if link.peer.role == "entry":
+                await self._serve_hub(LinkChannel(link), loads, beliefs)
+            elif self._exchange is None:
+                link.abort()
+            else:
+                await self._exchange.serve(link)
+
+        reporter = asyncio.create_task(loads.run())
+        try:
+            async with serve_links(Address(host=host, port=port), ctx, serve):
+                model, origin, size = await self._find_model()
+                weights = adapter.make_weight_source(session, origin.address)
+                source = HubManifests(weights, beliefs)
+                driver = adapter.make_runner_driver(session, cfg.runner)
+                keeper = self._build(driver, source, ctx, loads, model, origin, size)
+                await keeper.run()
+        finally:
+            await cancel_tasks(reporter)
+            if self._exchange is not None:
+                await self._exchange.stop()
+
+    async def _serve_hub(
+        self, hub: Channel, loads: LoadReporter, beliefs: BeliefSource
+    ) -> None:
+        loads.attach(hub)
+        beliefs.attach(hub)
+        try:
+            async for message in hub:
+                beliefs.take(hub, message)
+        finally:
+            beliefs.detach(hub)
+            loads.detach(hub)
+
+    def _build(
+        self,
+        driver: RunnerDriver,
+        source: WeightSource,
+        ctx: LinkContext,
+        loads: LoadReporter,
+        model: str,
+        origin: WeightOrigin,
+        size: int,
+    ) -> WeightKeeper:
+        cfg = self._cfg
+        region = cfg.regions.get(origin.data_centre, origin.data_centre)
+        engine = StagedEngine(driver, model)
+        rate = cfg.link_mbps * BYTES_PER_MEGABIT
+        copy_time = size / (rate * PAYLOAD_PART)
+        origin_rate = origin.bytes_per_second or rate
+        first_copy_time = size / (origin_rate * PAYLOAD_PART)
+        exchange = self._exchange = WeightExchange(
             lambda address: open_link(address, ctx),
             WeightSettings(
                 buffer_bytes=BUFFER_BYTES,
@@ -172,13 +249,19 @@
             ),
             engine,
             source,
-            UploadPacer(rate * UPLOAD_PART, lambda: False),
+            RatePacer(rate * UPLOAD_PART, lambda: False),
             self._rng,
             UploadBudget(UPLOAD_COPIES, CHUNK_SENDS, PART_BYTES),
             SOURCE_RETRY_S,
             RESCUE_AFTER_S,
+            TurnRescue(
+                cfg.peers,
+                lambda version: copies.get_near_needing(version),
+                lambda version: copies.get_delay(version),
+                RESCUE_STEP_S,
+            ),
+            RatePacer(rate * DOWNLOAD_PART, lambda: False),
         )
-        loads = LoadReporter()
         goals = VersionGoals(cfg.bounds.version_ms / 1000, copy_time)
         self._runners.subscribe(lambda: self._note_held(goals, model))
         self._versions.subscribe(lambda: self._note_named(goals, model))
@@ -186,7 +269,11 @@
         self._note_named(goals, model)
         turns = SwitchTurns()
         neighbours = Neighbours(
-            cfg.peers, cfg.data_centre, cfg.regions, self._get_neighbours
+            cfg.peers,
+            cfg.data_centre,
+            cfg.regions,
+            self._get_neighbours,
+            lambda: self._runners.changes,
         )
         copies = VersionCopies(
             model,
@@ -199,7 +286,7 @@
             SharePlanner(region, first_copy_time),
             get_boottime,
         )
-        keeper = WeightKeeper(
+        return WeightKeeper(
             model,
             driver,
             source,
@@ -213,21 +300,6 @@
             copy_time,
             get_boottime,
         )
-        host, port = split_address(cfg.peers)
-
-        async def serve(link: Link) -> None:
-            if link.peer.role == "entry":
-                await loads.serve(link)
-            else:
-                await exchange.serve(link)
-
-        reporter = asyncio.create_task(loads.run())
-        try:
-            async with serve_links(Address(host=host, port=port), ctx, serve):
-                await keeper.run()
-        finally:
-            await cancel_tasks(reporter)
-            await exchange.stop()
 
     async def _find_model(self) -> tuple[str, WeightOrigin, int]:
         """Return the model of the service, the origin and the bytes of a copy."""
@@ -265,9 +337,10 @@
                 goals.note(version, get_boottime())
 
     def _note_named(self, goals: VersionGoals, model: str) -> None:
-        for wanted in self._versions.items.values():
+        for name, wanted in self._versions.items.items():
             if wanted.model == model:
-                goals.note(wanted.version, get_boottime())
+                named_at = self._versions.dates.get(name, get_boottime())
+                goals.note(wanted.version, named_at)
                 log.event("version_named", model=model, version=wanted.version)
 
     async def _get_metrics(self, req: web.Request) -> web.Response:
--- a/packages/target/src/marigold/target/companion/sharing.py
+++ b/packages/target/src/marigold/target/companion/sharing.py
@@ -7,10 +7,21 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from collections.abc import Sequence
 
-from marigold.core.rollout.planner import HostPlan, PlanHost, SwarmPlanner
+from marigold.core.rollout.planner import (
+    DIALLED_PEERS,
+    HostPlan,
+    PlanHost,
+    SwarmPlanner,
+)
+
+# Hosts of a region up to which each exchanges with all others.
+FULL_MESH = 8
+# Hosts with the whole version that one dials in its region.
+HOLDERS = 4
 
 
 class SharePlanner:
@@ -50,15 +61,36 @@
             return plans[own.host]
         near = [host for host in hosts.values() if host.region == own.region]
         plan = HostPlan()
-        plan.sources = [host.address for host in near if host.address > own.address]
-        local = [host.address for host in holding if host.region == own.region]
+        plan.sources = _choose_peers(own, near)
+        local = {host.address for host in holding if host.region == own.region}
         if local:
-            plan.sources += sorted(set(local) - {own.address})
+            plan.sources += _choose(own, sorted(local - {own.address}), HOLDERS)
         else:
             plan.remote = _share_remote(own, near, holding, chunks, seed)
         return plan
 
 
+def _choose_peers(own: PlanHost, near: Sequence[PlanHost]) -> list[str]:
+    """Return the hosts of a region that a host dials; the others dial it."""
+    addresses = sorted(host.address for host in near)
+    if len(addresses) <= FULL_MESH:
+        return [address for address in addresses if address > own.address]
+    # The next one in the order closes a ring, so that every host is reached.
+    place = addresses.index(own.address)
+    following = addresses[(place + 1) % len(addresses)]
+    others = [item for item in addresses if item not in (own.address, following)]
+    return [following, *_choose(own, others, DIALLED_PEERS - 1)]
+
+
+def _choose(own: PlanHost, addresses: Sequence[str], count: int) -> list[str]:
+    """Return some addresses by a hash, others for each host."""
+    return sorted(addresses, key=lambda item: _rank(own.address, item))[:count]
+
+
+def _rank(own: str, other: str) -> bytes:
+    return hashlib.blake2b(f"{own}/{other}".encode(), digest_size=8).digest()
+
+
 def _share_remote(
     own: PlanHost,
     near: Sequence[PlanHost],
--- a/packages/target/src/marigold/target/companion/switching.py
+++ b/packages/target/src/marigold/target/companion/switching.py
@@ -27,9 +27,13 @@
 LEADING_MAXIMUM = 0.6
 
 
-# Seconds before the expected end of a copy at which the first runner pauses; long
-# answers take as long to end.
+# Seconds before the expected end of a copy at which the first runner pauses at most;
+# long answers take as long to end.
 LEAD_S = 2.4
+# Seconds for which a runner is away, as it ends what it runs, and the part of all
+# runners that may be away at a time while there is room for it.
+AWAY_S = 1.5
+AWAY_PART = 0.2
 # Part of the runners that pause before their copy is complete, and the smallest
 # number of runners with which any does.
 EARLY_PART = 0.7
@@ -68,12 +72,22 @@
         names = sorted((host.host for host in hosts), key=lambda x: _rank(x, version))
         return set(names[: math.ceil(len(names) * LEADING_PART)])
 
-    def is_early(self, turn: int, count: int, remaining: float) -> bool:
+    def get_lead(self, complete_at: float, due_at: float) -> float:
+        """Return the seconds before its copy ends at which the first runner pauses.
+
+        Where there is room enough after that, none has to.
+        """
+        room = max(due_at - LAST_ORDER_S - complete_at, 0.0)
+        return min(max(AWAY_S / AWAY_PART - room, 0.0), LEAD_S)
+
+    def is_early(
+        self, turn: int, count: int, remaining: float, lead: float = LEAD_S
+    ) -> bool:
         """Tell whether a runner may pause `remaining` seconds before its copy ends."""
         if count < EARLY_RUNNERS:
             return False
         part = turn / count / EARLY_PART
-        return remaining <= LEAD_S * (1.0 - part)
+        return remaining <= lead * (1.0 - part)
 
     def get_start(
         self, turn: int, count: int, complete_at: float, due_at: float
--- a/packages/target/src/marigold/target/gate/drivers.py
+++ b/packages/target/src/marigold/target/gate/drivers.py
@@ -11,7 +11,6 @@
 
 from aiohttp import (
     ClientConnectorError,
-    ClientError,
     ClientHandlerType,
     ClientOSError,
     ClientRequest,
@@ -22,6 +21,7 @@
     TCPConnector,
 )
 
+from marigold.core.connections import CALL_ERRORS
 from marigold.core.exceptions import MarigoldError
 from marigold.core.schema.generated.messages import StartAttempt
 from marigold.core.schema.generated.settings import EngineSettings
@@ -152,7 +152,7 @@
             raise BackEndUnreachableError(f"{self._cfg.url}: {exc!r}") from exc
         except TimeoutError:
             raise
-        except (ClientError, OSError) as exc:
+        except CALL_ERRORS as exc:
             raise BackEndError(f"{self._cfg.url}: {exc!r}") from exc
 
 
@@ -181,7 +181,7 @@
         try:
             async with self._session.get(url, timeout=timeout) as resp:
                 return await resp.json()
-        except (BackEndError, ClientError, OSError, ValueError) as exc:
+        except (BackEndError, *CALL_ERRORS, ValueError) as exc:
             raise BackEndUnreachableError(f"{url}: {exc!r}") from exc
 
     def _make_headers(self, start: StartAttempt) -> dict[str, str]:
--- a/packages/target/src/marigold/target/process.py
+++ b/packages/target/src/marigold/target/process.py
@@ -27,7 +27,7 @@
 from marigold.target.weights.engine import HttpWeightEngine
 from marigold.target.weights.exchange import WeightExchange
 from marigold.target.weights.orders import OrderTaker, VersionGate
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
 
 log = get_logger(__name__)
 
@@ -107,7 +107,7 @@
             cfg.weights,
             engine,
             WeightClient(session, cfg.platform),
-            UploadPacer(cfg.weights.upload_rate, lambda: gate.running > 0),
+            RatePacer(cfg.weights.upload_rate, lambda: gate.running > 0),
             rng,
         )
         versions = VersionGate(
--- a/packages/target/src/marigold/target/weights/download.py
+++ b/packages/target/src/marigold/target/weights/download.py
@@ -9,14 +9,18 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from marigold.core.schema.generated.messages import LoadOrder
 from marigold.core.schema.generated.records import Manifest
 
 SAMPLE_CHUNKS = 64
 URGENT_REFUSALS = 6
+# Seconds that a chunk is on its way before another source is asked for it as well, if
+# nothing else is left to ask for; some times what it takes from a busy peer.
+OVERDUE_S = 1.2
 
 
 class SourceShare:
@@ -25,10 +29,13 @@
     `allowed` limits the chunks that are asked of the source, None for any.
     """
 
-    __slots__ = ("_woken", "allowed", "corrupt", "held", "wanted")
+    __slots__ = ("_woken", "allowed", "corrupt", "held", "is_origin", "wanted")
 
-    def __init__(self, allowed: Collection[int] | None = None) -> None:
+    def __init__(
+        self, allowed: Collection[int] | None = None, is_origin: bool = False
+    ) -> None:
         self._woken = asyncio.Event()
+        self.is_origin = is_origin
         self.allowed = None if allowed is None else set(allowed)
         self.held: set[int] = set()
         self.wanted: set[int] = set()
@@ -45,10 +52,16 @@
 
 
 class Download:
-    """One version, addressed by the digest of the whole."""
+    """One version, addressed by the digest of the whole.
+
+    `monotonic` reads a time in seconds.
+    """
 
     __slots__ = (
         "_availability",
+        "_changed_at",
+        "_monotonic",
+        "_overdue",
         "_refusals",
         "_rng",
         "changed",
@@ -65,16 +78,23 @@
     )
 
     def __init__(
-        self, manifest: Manifest, order: LoadOrder, rng: random.Random
+        self,
+        manifest: Manifest,
+        order: LoadOrder,
+        rng: random.Random,
+        monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
         self._rng = rng
+        self._monotonic = monotonic
+        self._changed_at = monotonic()
+        self._overdue: set[int] = set()
         self._availability: Counter[int] = Counter()
         self._refusals: Counter[int] = Counter()
         self.manifest = manifest
         self.order = order
         self.held: set[int] = set()
         self.missing = set(range(len(manifest.chunks)))
-        self.in_flight: set[int] = set()
+        self.in_flight: Counter[int] = Counter()
         self.is_halted = False
         self.shares: list[SourceShare] = []
         self.completed = asyncio.Event()
@@ -127,6 +147,27 @@
             self._want(share, share.held)
             share.wake()
 
+    def limit(self, share: SourceShare, indexes: Collection[int]) -> None:
+        """Let only some chunks be asked of a source."""
+        share.allowed = set(indexes)
+        share.wanted.clear()
+        self._want(share, share.held)
+        share.wake()
+
+    def get_offered_part(self) -> float:
+        """Return the part of what other regions are to pass on that they have by now.
+
+        1.0 where nothing is planned to come from there.
+        """
+        planned = {item for part in self.order.remote.values() for item in part}
+        if not planned:
+            return 1.0
+        offered = set(self.held)
+        for share in self.shares:
+            if not share.is_origin:
+                offered |= share.held
+        return len(planned & offered) / len(planned)
+
     def pick(self, share: SourceShare) -> int | None:
         """Return the rarest of some chunks to fetch from a source, None for none.
 
@@ -136,9 +177,10 @@
         """
         if self.is_halted:
             return None
-        candidates = list(share.wanted - self.in_flight)
+        candidates = list(share.wanted - self.in_flight.keys())
         if share.allowed is not None:
             candidates = [index for index in candidates if self._is_far(index)]
+        candidates = candidates or self._get_overdue(share)
         if not candidates:
             return None
         if len(candidates) > SAMPLE_CHUNKS:
@@ -148,6 +190,36 @@
             [index for index in candidates if self._availability[index] == rarest]
         )
 
+    def _get_overdue(self, share: SourceShare) -> list[int]:
+        """Return what another source is slow to send, once nothing else is left.
+
+        A host that stands still holds up the last chunks of all others.
+        """
+        if self.missing - self.in_flight.keys():
+            return []
+        found = share.wanted & self._overdue
+        return [index for index in found if self.in_flight[index] == 1]
+
+    def begin(self, index: int) -> None:
+        """Note that a source is asked for a chunk."""
+        self.in_flight[index] += 1
+
+    def end(self, index: int) -> None:
+        """Note that a source is no longer asked for a chunk."""
+        self.in_flight[index] -= 1
+        if not self.in_flight[index]:
+            del self.in_flight[index]
+            self._overdue.discard(index)
+
+    def note_overdue(self, index: int) -> None:
+        """Note that a source has been asked for `OVERDUE_S` seconds."""
+        self._overdue.add(index)
+        self.wake()
+
+    def get_quiet_time(self) -> float:
+        """Return the seconds since the last chunk came in."""
+        return self._monotonic() - self._changed_at
+
     def _is_far(self, index: int) -> bool:
         return self._availability[index] <= 0 or self.is_urgent(index)
 
@@ -155,6 +227,7 @@
         """Note that a checked chunk is held."""
         self.held.add(index)
         self.missing.discard(index)
+        self._changed_at = self._monotonic()
         self._refusals.pop(index, None)
         for share in self.shares:
             share.wanted.discard(index)
@@ -172,8 +245,8 @@
         self.wake()
 
     def refuse(self, index: int) -> None:
-        """Note that a source would not pass a chunk on now."""
-        self._refusals[index] += 1
+        """Note that a source would not pass a chunk on now, or not in time."""
+        self._refusals[index] += URGENT_REFUSALS if index in self._overdue else 1
 
     def get_refusals(self, index: int) -> int:
         """Return how often sources refused a chunk."""
--- a/packages/target/src/marigold/target/weights/engine.py
+++ b/packages/target/src/marigold/target/weights/engine.py
@@ -5,8 +5,9 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientSession, ClientTimeout
 
+from marigold.core.connections import CALL_ERRORS
 from marigold.core.schema.generated.records import Manifest
 from marigold.core.schema.generated.settings import EngineSettings
 from marigold.target.weights.exceptions import EngineFencedError, EngineOrderError
@@ -83,7 +84,7 @@
         try:
             async with self._session.get(url, timeout=timeout) as resp:
                 return list((await resp.json())["versions"])
-        except (TimeoutError, ClientError, OSError, ValueError, LookupError) as exc:
+        except (*CALL_ERRORS, ValueError, LookupError) as exc:
             raise EngineOrderError(f"GET /load: {exc!r}") from exc
 
     async def _call(
@@ -96,7 +97,7 @@
                 method, url, timeout=limit, **options
             ) as resp:
                 data = await resp.read()
-        except (TimeoutError, ClientError, OSError) as exc:
+        except CALL_ERRORS as exc:
             raise EngineOrderError(f"{method} {path}: {exc!r}") from exc
         if resp.status == STATUS_FENCED:
             raise EngineFencedError(f"{method} {path}: old fencing number")
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -30,8 +31,9 @@
 from marigold.target.weights.download import Download, SourceShare
 from marigold.target.weights.engine import WeightEngine
 from marigold.target.weights.fetching import RETRY_MAXIMUM_S, ChunkFetcher
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
 from marigold.target.weights.peers import Membership, Peer
+from marigold.target.weights.rescue import DoublingRescue, RescuePolicy
 from marigold.target.weights.sources import (
     OriginSource,
     PeerSource,
@@ -47,6 +49,10 @@
 STALL_TIMEOUT_S = 2.0
 # Seconds in which links to peers are opened, from the timeout for one of them.
 LINKING_S = 1.0
+# Seconds without a message about chunks after which a link is closed by a host that
+# needs none, and between two looks for such links.
+IDLE_LINK_S = 5.0
+TIDY_INTERVAL_S = 2.0
 
 Dialer = Callable[[str], Awaitable[Link]]
 
@@ -55,8 +61,9 @@
     """The downloads of this host and its links to other targets.
 
     `dial` opens a link to an address or raises `LinkError`. After `rescue_after`
-    seconds without any chunk more are asked of the origin; 0 takes a few times what
-    one chunk may take.
+    seconds without any chunk, `rescue` says what more is asked of the origin; 0 takes a
+    few times what one chunk may take. `fetch_pacer` bounds what is fetched, None for
+    no bound.
     """
 
     def __init__(
@@ -65,61 +72,96 @@
         cfg: WeightSettings,
         engine: WeightEngine,
         client: WeightClient,
-        pacer: UploadPacer,
+        pacer: RatePacer,
         rng: random.Random,
         budget: UploadBudget | None = None,
         retry_maximum: float = RETRY_MAXIMUM_S,
         rescue_after: float = 0.0,
+        rescue: RescuePolicy | None = None,
+        fetch_pacer: RatePacer | None = None,
     ) -> None:
         self._dial_peer = dial
         self._cfg = cfg
         self._client = client
         self._rng = rng
         self._rescue_after = rescue_after or RESCUE_RATIO * cfg.chunk_timeout
+        self._rescue_policy = rescue or DoublingRescue(rng)
         self._uploader = Uploader(
             engine, pacer, cfg.buffer_bytes, budget or UploadBudget()
         )
         self._fetcher = ChunkFetcher(
-            engine, cfg.parallel, self.add_held, rng, retry_maximum
+            engine,
+            cfg.parallel,
+            self.add_held,
+            rng,
+            retry_maximum,
+            fetch_pacer,
+            self._note_origin_failure,
         )
+        self._rescued: dict[str, set[int]] = {}
+        self._origin_failed_at = -math.inf
         self._downloads: dict[str, Download] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._origins: dict[str, SourceShare] = {}
         self._peers: set[Peer] = set()
         self._dialers: dict[str, asyncio.Task[None]] = {}
+        self._tidying: asyncio.Task[None] | None = None
 
     def start(self, manifest: Manifest, order: LoadOrder) -> Download:
         """Start to copy a version; what is held already is kept."""
         download = Download(manifest, order, self._rng)
         digest = manifest.digest
         self._downloads[digest] = download
-        share = SourceShare(order.origin_chunks)
+        share = SourceShare(order.origin_chunks, is_origin=True)
         self._origins[digest] = share
+        self._rescued[digest] = set()
         download.add_share(share)
         download.add_available(share, range(len(manifest.chunks)))
         origin = OriginSource(self._client, self._cfg.chunk_timeout)
         self._tasks[digest] = [
             _start_task(self._fetcher.pull(download, share, origin)),
-            _start_task(self._rescue(download, share)),
+            _start_task(self._rescue(download)),
         ]
         self._connect()
+        if self._tidying is None:
+            self._tidying = _start_task(self._tidy())
         return download
 
     def change(self, download: Download, order: LoadOrder) -> None:
         """Follow a newer order for the same version."""
         download.order = order
-        share = self._origins[download.digest]
-        download.allow(share, order.origin_chunks)
+        self._limit_origin(download)
         for peer in self._peers:
             member = peer.members.get(download.digest)
             if member is not None and peer.address in order.remote:
                 download.allow(member.share, order.remote[peer.address])
         self._connect()
 
+    def _limit_origin(self, download: Download) -> None:
+        """Let the origin be asked for what is planned, and for what did not come."""
+        rescued = self._rescued[download.digest]
+        share = self._origins[download.digest]
+        download.limit(share, rescued.union(download.order.origin_chunks))
+
+    def _note_origin_failure(self, download: Download) -> None:
+        """Ask the origin for no more than planned until it has been back for a while.
+
+        What all hosts missed meanwhile would hold up its first copy.
+        """
+        self._origin_failed_at = _get_time()
+        if self._rescued.get(download.digest):
+            self._rescued[download.digest].clear()
+            self._limit_origin(download)
+
+    def get_origin_failure_age(self) -> float:
+        """Return the seconds since the origin gave no chunk, or infinity."""
+        return _get_time() - self._origin_failed_at
+
     async def drop(self, digest: str) -> None:
         """Stop copying and passing on a version."""
         self._downloads.pop(digest, None)
         self._origins.pop(digest, None)
+        self._rescued.pop(digest, None)
         await cancel_tasks(*self._tasks.pop(digest, []))
         for peer in list(self._peers):
             member = peer.members.pop(digest, None)
@@ -132,6 +174,8 @@
         for digest in list(self._downloads):
             await self.drop(digest)
         await cancel_tasks(*self._dialers.values())
+        if self._tidying is not None:
+            await cancel_tasks(self._tidying)
         for peer in self._peers:
             peer.abort()
 
@@ -148,10 +192,24 @@
     def _get_wanted_addresses(self) -> set[str]:
         wanted: set[str] = set()
         for download in self._downloads.values():
-            if not download.is_complete():
+            if not download.is_complete() and not download.is_halted:
                 wanted |= {*download.order.sources, *download.order.remote}
         return wanted
 
+    async def _tidy(self) -> None:
+        """Close links over which nothing goes once all copies here are whole.
+
+        A peer that still lacks something opens one when it needs it.
+        """
+        while True:
+            await asyncio.sleep(TIDY_INTERVAL_S)
+            if self._get_wanted_addresses():
+                continue
+            now = _get_time()
+            for peer in list(self._peers):
+                if now - peer.used_at >= IDLE_LINK_S:
+                    peer.abort()
+
     async def _dial(self, address: str) -> None:
         backoff = Backoff(self._rng)
         while True:
@@ -269,21 +327,24 @@
                 sent_bytes=download.sent_bytes,
             )
 
-    async def _rescue(self, download: Download, share: SourceShare) -> None:
+    async def _rescue(self, download: Download) -> None:
         """Let more chunks come from the origin while nothing else comes in."""
-        batch = 1
+        stalls = 0
         # Nothing can come before links to peers are open.
         await asyncio.sleep(LINKING_S)
         while True:
             download.changed.clear()
             if await self._wait_for_change(download):
-                batch = 1
+                stalls = 0
                 continue
-            missing = sorted(download.missing)
-            chunks = self._rng.sample(missing, min(batch, len(missing)))
-            download.allow(share, chunks)
-            log.event("origin_rescue", chunks=len(chunks))
-            batch *= 2
+            if download.is_halted:
+                continue
+            stalls += 1
+            chunks = self._rescue_policy.choose(download, stalls)
+            if chunks:
+                self._rescued[download.digest].update(chunks)
+                self._limit_origin(download)
+                log.event("origin_rescue", chunks=len(chunks), stalls=stalls)
 
     async def _wait_for_change(self, download: Download) -> bool:
         patience = self._rescue_after * (0.5 + self._rng.random())
@@ -295,6 +356,10 @@
         return True
 
 
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _start_task(coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
     """Start a task that logs the error it ends with."""
     task = asyncio.create_task(coro)
--- a/packages/target/src/marigold/target/weights/fetching.py
+++ b/packages/target/src/marigold/target/weights/fetching.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 from marigold.core.logging import get_logger
-from marigold.core.platform.weights import compute_digest
+from marigold.core.platform.weights import compute_digest, get_chunk_bytes
 from marigold.target.weights.backoff import Backoff
-from marigold.target.weights.download import Download, SourceShare
+from marigold.target.weights.download import OVERDUE_S, Download, SourceShare
 from marigold.target.weights.engine import WeightEngine
 from marigold.target.weights.exceptions import (
     ChunkCorruptError,
@@ -21,6 +21,7 @@
     ChunkUnavailableError,
     EngineOrderError,
 )
+from marigold.target.weights.pacing import RatePacer
 from marigold.target.weights.sources import MAXIMUM_CORRUPT, ChunkSource
 
 log = get_logger(__name__)
@@ -34,8 +35,11 @@
     """Fetches of one host, at most `parallel` at once from near peers.
 
     A source that gives nothing is asked again after `retry_maximum` seconds at most.
+    `pacer` spreads the fetches, so that what comes does not fill the host's link; what
+    only this host brings into its region goes first.
 
-    `on_held` is called with each chunk that the engine has taken.
+    `on_held` is called with each chunk that the engine has taken, `on_origin_failed`
+    when the origin gave none.
     """
 
     def __init__(
@@ -45,11 +49,15 @@
         on_held: Callable[[Download, int], None],
         rng: random.Random,
         retry_maximum: float = RETRY_MAXIMUM_S,
+        pacer: RatePacer | None = None,
+        on_origin_failed: Callable[[Download], None] = lambda download: None,
     ) -> None:
         self._engine = engine
         self._on_held = on_held
         self._rng = rng
         self._retry_maximum = retry_maximum
+        self._pacer = pacer
+        self._on_origin_failed = on_origin_failed
         self._slots = asyncio.Semaphore(parallel)
         self._far_slots = asyncio.Semaphore(FAR_REQUESTS)
 
@@ -72,8 +80,14 @@
                 await backoff.wait()
             except ChunkRefusedError:
                 await refusals.wait()
-            except (ChunkUnavailableError, EngineOrderError) as exc:
+            except ChunkUnavailableError as exc:
                 log.event("chunk_failed", source=source.name, reason=exc)
+                if source.is_origin:
+                    self._on_origin_failed(download)
+                await backoff.wait()
+            except EngineOrderError as exc:
+                # The source gave the chunk, so that nothing is held against it.
+                log.event("chunk_not_taken", source=source.name, reason=exc)
                 await backoff.wait()
         download.remove_share(share)
         log.event("source_dropped", source=source.name, corrupt=share.corrupt)
@@ -94,20 +108,41 @@
         index = download.pick(share)
         if index is None:
             return
-        download.in_flight.add(index)
+        download.begin(index)
+        overdue: asyncio.TimerHandle | None = None
         try:
+            await self._await_pace(download, share, index)
+            loop = asyncio.get_running_loop()
+            overdue = loop.call_later(OVERDUE_S, download.note_overdue, index)
             data = await source.fetch(download, index)
             self._check(download, index, data, source)
             await self._engine.put_chunk(download.manifest.version, index, data)
-            self._on_held(download, index)
+            if index in download.missing:
+                self._on_held(download, index)
         except ChunkUnavailableError:
             download.refuse(index)
             raise
         finally:
-            download.in_flight.discard(index)
+            if overdue is not None:
+                overdue.cancel()
+            download.end(index)
             if index in download.missing:
                 download.wake()
 
+    async def _await_pace(
+        self, download: Download, share: SourceShare, index: int
+    ) -> None:
+        """Wait for the turn of a chunk on this host's link.
+
+        What this host is to bring in for others does not wait for what it takes
+        from them, but counts.
+        """
+        if self._pacer is None:
+            return
+        seconds = self._pacer.reserve(get_chunk_bytes(download.manifest, index))
+        if share.allowed is None and seconds > 0:
+            await asyncio.sleep(seconds)
+
     def _check(
         self, download: Download, index: int, data: bytes, source: ChunkSource
     ) -> None:
--- a/packages/target/src/marigold/target/weights/pacing.py
+++ b/packages/target/src/marigold/target/weights/pacing.py
@@ -1,4 +1,4 @@
-"""Rate of what this host sends to peers."""
+"""Rates of what this host sends to peers and fetches."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 BUSY_RATIO = 0.25
 
 
-class UploadPacer:
-    """Holds all uploads together to a rate in bytes a second.
+class RatePacer:
+    """Holds all transfers one way together to a rate in bytes a second.
 
-    While `is_busy` tells that live requests run on this host, uploads take a
+    While `is_busy` tells that live requests run on this host, they take a
     quarter of the rate.
     """
 
--- a/packages/target/src/marigold/target/weights/peers.py
+++ b/packages/target/src/marigold/target/weights/peers.py
@@ -23,7 +23,7 @@
 
 MAXIMUM_REQUESTS = 64
 MAXIMUM_HEARD = 8
-GATHER_S = 0.05
+GATHER_S = 0.1
 FAR_REFUSALS = 1000
 
 Answerer = Callable[["Peer", ChunkRequest], Awaitable[None]]
@@ -74,7 +74,8 @@
 class Peer:
     """Another target at the end of an open link.
 
-    `address` is where this process dialled it, empty for an accepted link.
+    `address` is where this process dialled it, empty for an accepted link. `used_at`
+    is the loop's time of the last message about chunks.
     """
 
     def __init__(self, link: Link, address: str, answer: Answerer) -> None:
@@ -89,6 +90,7 @@
         self.members: dict[str, Membership] = {}
         self.heard: dict[str, list[int]] = {}
         self.only: dict[str, list[int]] = {}
+        self.used_at = _get_time()
 
     @property
     def name(self) -> str:
@@ -119,6 +121,7 @@
 
     def hear(self, message: ChunksHeld) -> None:
         """Note an announcement, also of a download that is not known yet."""
+        self.used_at = _get_time()
         if message.digest in self.members:
             return
         if message.digest in self.heard or len(self.heard) < MAXIMUM_HEARD:
@@ -171,6 +174,7 @@
 
     def take_request(self, request: ChunkRequest) -> None:
         """Queue a request of the peer."""
+        self.used_at = _get_time()
         if len(self._requests) < MAXIMUM_REQUESTS:
             self._requests.append(request)
             self._requested.set()
@@ -187,6 +191,7 @@
 
     def take_answer(self, answer: ChunkAnswer) -> None:
         """Take in a part of a chunk."""
+        self.used_at = _get_time()
         assembly = self._assemblies.get(answer.digest)
         if assembly is None or assembly.finished:
             return
@@ -237,6 +242,10 @@
         return bytes(assembly.data)
 
 
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 async def _receive(assembly: _Assembly, stall: float) -> None:
     while not assembly.finished:
         assembly.progressed.clear()
--- /dev/null
+++ b/packages/target/src/marigold/target/weights/rescue.py
@@ -0,0 +1,88 @@
+"""When a host asks the origin for chunks that its peers do not bring.
+
+Answers the load pattern in which hosts that get nothing for a moment, as the origin
+is slow for all, ask it for more and so make it slower still.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+
+from marigold.target.weights.download import Download
+
+
+class RescuePolicy(ABC):
+    """Says what to ask of the origin after a while without any chunk."""
+
+    @abstractmethod
+    def choose(self, download: Download, stalls: int) -> list[int]:
+        """Return missing chunks; `stalls` counts the whiles without one in a row."""
+
+
+class DoublingRescue(RescuePolicy):
+    """One chunk, then two, four and so on; for swarms with a fast origin."""
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(self, download: Download, stalls: int) -> list[int]:
+        """Return some missing chunks."""
+        missing = sorted(download.missing)
+        return self._rng.sample(missing, min(2 ** (stalls - 1), len(missing)))
+
+
+class TurnRescue(RescuePolicy):
+    """Each chunk has its turns among the hosts of a region, by a hash.
+
+    The first one may ask once the origin has had the time to send what was planned,
+    the next one `step` seconds later, the third three steps later and so on, so that
+    the origin is asked for about one copy a region in a while. `get_hosts` returns the
+    hosts of the region that need a version, `get_elapsed` the seconds by which the
+    plan for it is late.
+    """
+
+    __slots__ = ("_get_elapsed", "_get_hosts", "_own", "_ranks", "_step")
+
+    def __init__(
+        self,
+        own: str,
+        get_hosts: Callable[[str], Sequence[str]],
+        get_elapsed: Callable[[str], float],
+        step: float,
+    ) -> None:
+        self._own = own
+        self._get_hosts = get_hosts
+        self._get_elapsed = get_elapsed
+        self._step = step
+        self._ranks: dict[tuple[object, ...], int] = {}
+
+    def choose(self, download: Download, stalls: int) -> list[int]:
+        """Return the missing chunks whose turn has come to this host."""
+        version = download.manifest.version
+        elapsed = self._get_elapsed(version)
+        if elapsed < 0:
+            return []
+        hosts = tuple(sorted({*self._get_hosts(version), self._own}))
+        return [
+            index
+            for index in sorted(download.missing)
+            if elapsed >= (2 ** self._get_rank(index, hosts) - 1) * self._step
+        ]
+
+    def _get_rank(self, index: int, hosts: tuple[str, ...]) -> int:
+        key = (index, hosts)
+        if key not in self._ranks:
+            if len(self._ranks) >= len(hosts) * 1000:
+                self._ranks.clear()
+            own = _hash(index, self._own)
+            self._ranks[key] = sum(_hash(index, host) < own for host in hosts)
+        return self._ranks[key]
+
+
+def _hash(index: int, host: str) -> bytes:
+    return hashlib.blake2b(f"{index}/{host}".encode(), digest_size=8).digest()
--- a/packages/target/src/marigold/target/weights/uploads.py
+++ b/packages/target/src/marigold/target/weights/uploads.py
@@ -9,7 +9,7 @@
 from marigold.target.weights.download import Download
 from marigold.target.weights.engine import WeightEngine
 from marigold.target.weights.exceptions import EngineOrderError
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
 from marigold.target.weights.peers import Peer
 
 log = get_logger(__name__)
@@ -63,7 +63,7 @@
     def __init__(
         self,
         engine: WeightEngine,
-        pacer: UploadPacer,
+        pacer: RatePacer,
         buffer_bytes: int,
         budget: UploadBudget,
     ) -> None:
--- a/packages/target/tests/companion_fakes.py
+++ b/packages/target/tests/companion_fakes.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 import random
 
 from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
@@ -78,17 +79,22 @@
 class FakeExchange:
     """An exchange whose chunks come when a test says so."""
 
-    def __init__(self):
+    def __init__(self, monotonic):
+        self.monotonic = monotonic
         self.downloads = {}
+        self.origin_failure_age = math.inf
 
     def start(self, manifest, order):
-        download = Download(manifest, order, random.Random(1))
+        download = Download(manifest, order, random.Random(1), self.monotonic)
         self.downloads[int(manifest.version)] = download
         return download
 
     def change(self, download, order):
         download.order = order
 
+    def get_origin_failure_age(self):
+        return self.origin_failure_age
+
     def add_held(self, download, index):
         download.add_held(index)
 
--- a/packages/target/tests/companion_plans_tests.py
+++ b/packages/target/tests/companion_plans_tests.py
@@ -39,6 +39,23 @@
         self.assertEqual(self.choose(goals, 1), [2, 3])
         self.assertEqual(self.choose(goals, 1, leads=True), [3])
 
+    def test_version_that_replaces_another_is_needed_when_that_one_was(self):
+        """Found in alapko-marigold-large quiet-1: two seconds without weights."""
+        goals = VersionGoals(13.4, COPY_S)
+        goals.note(2, 20.0)
+        goals.note(3, 24.0)
+        goal = goals.choose(1, lambda version: True)[0]
+        self.assertEqual(goal.due_at, 37.4)
+        self.assertEqual(goals.get_needed_at(3, held=1), 33.4)
+
+    def test_runner_with_the_version_in_between_has_until_the_newest_is_due(self):
+        goals = VersionGoals(BOUND_S, COPY_S)
+        goals.note(2, 20.0)
+        goals.note(3, 24.0)
+        self.assertEqual(goals.get_needed_at(3, held=1), 20.0 + BOUND_S)
+        self.assertEqual(goals.get_needed_at(3, held=2), 24.0 + BOUND_S)
+        self.assertEqual(goals.get_needed_at(3, held=None), 24.0 + BOUND_S)
+
     def test_versions_far_apart_are_both_brought(self):
         goals = VersionGoals(BOUND_S, COPY_S)
         goals.note(2, 20.0)
@@ -73,6 +90,13 @@
         self.assertFalse(turns.is_early(0, 9, LEAD_S + 0.1))
         self.assertFalse(turns.is_early(0, 2, LEAD_S / 2))
 
+    def test_no_runner_pauses_early_where_there_is_room_after_the_copies(self):
+        turns = SwitchTurns()
+        self.assertEqual(turns.get_lead(106.0, 114.5), 0.0)
+        self.assertEqual(turns.get_lead(106.0, 107.0), LEAD_S)
+        part = turns.get_lead(106.0, 113.0)
+        self.assertTrue(0.0 < part < LEAD_S)
+
     def choose_leading(self, *regions):
         hosts = [make_host(number, item) for number, item in enumerate(regions)]
         leading = SwitchTurns().choose_leading(hosts, "central", 3)
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import unittest
+from math import inf
 
 from companion_fakes import (
     BOUND_S,
@@ -15,7 +17,11 @@
 
 from marigold.core.exceptions import PlatformUnreachableError
 from marigold.core.schema.generated.deployment import HeldModel, Runner
-from marigold.target.companion.copies import VersionCopies
+from marigold.target.companion.copies import (
+    PLANNED_MARGIN_S,
+    QUIET_S,
+    VersionCopies,
+)
 from marigold.target.companion.goals import VersionGoals
 from marigold.target.companion.keeper import WeightKeeper
 from marigold.target.companion.loads import LoadReporter
@@ -23,7 +29,8 @@
 from marigold.target.companion.neighbours import Neighbours
 from marigold.target.companion.sharing import SharePlanner
 from marigold.target.companion.staging import StagedEngine
-from marigold.target.companion.switching import SwitchTurns
+from marigold.target.companion.switching import LAST_ORDER_S, SwitchTurns
+from marigold.target.weights.download import SourceShare
 from marigold.target.weights.exceptions import EngineOrderError
 
 
@@ -82,27 +89,34 @@
             await self.engine.get_chunk("2", 0)
 
 
-class KeeperTests(unittest.IsolatedAsyncioTestCase):
+class KeeperTestCase(unittest.IsolatedAsyncioTestCase):
+    origin_region = "west"
+    names = ("10.0.0.1:7",)
+
     def setUp(self):
         self.now = 100.0
         self.driver = FakeDriver()
         self.source = FakeSource(1, 2)
-        self.exchange = FakeExchange()
+        self.exchange = FakeExchange(lambda: self.now)
         self.engine = StagedEngine(self.driver, "m")
         self.goals = VersionGoals(BOUND_S, COPY_S)
         self.loads = LoadReporter()
-        turns = SwitchTurns()
+        self.turns = SwitchTurns()
         neighbours = Neighbours(
-            "10.0.0.1:7", "gyor-a", {"gyor-a": "west"}, self.get_runners
+            "10.0.0.1:7",
+            "gyor-a",
+            {"gyor-a": "west"},
+            self.get_runners,
+            itertools.count().__next__,
         )
-        self.planner = SharePlanner("west")
+        self.planner = SharePlanner(self.origin_region)
         self.copies = VersionCopies(
             "m",
             self.source,
             self.engine,
             self.exchange,
             self.goals,
-            turns,
+            self.turns,
             neighbours,
             self.planner,
             lambda: self.now,
@@ -114,7 +128,7 @@
             self.engine,
             self.copies,
             self.goals,
-            turns,
+            self.turns,
             neighbours,
             self.loads,
             CompanionMetrics(),
@@ -132,7 +146,7 @@
             is_draining=False,
             held=self.driver.held,
         )
-        return {"10.0.0.1:7": runner}
+        return dict.fromkeys(self.names, runner)
 
     async def bring(self, version):
         data, _ = make_manifest(version)
@@ -144,6 +158,8 @@
         self.now += seconds
         await self.keeper._look()
 
+
+class KeeperTests(KeeperTestCase):
     async def test_empty_runner_is_loaded_as_soon_as_the_copy_is_whole(self):
         self.goals.note(2, self.now)
         await self.look()
@@ -255,3 +271,104 @@
         self.keeper._pausing = 2
         await self.look(20.0)
         self.assertIsNone(self.keeper._pausing)
+
+    async def copy_all_but_one(self, *quiet):
+        """Copy all chunks but the last one, which is then waited for."""
+        self.driver.held = [HeldModel(model="m", version=1)]
+        self.goals.note(1, 0.0)
+        self.goals.note(2, self.now)
+        await self.look()
+        for index in range(CHUNKS - 1):
+            self.now += COPY_S / CHUNKS
+            self.exchange.downloads[2].add_held(index)
+        for seconds in quiet:
+            await self.look(seconds)
+
+    async def test_runner_does_not_pause_while_the_last_chunk_hangs(self):
+        """Found in alapko-marigold-large trouble-2: all paused for 2.8 s."""
+        await self.copy_all_but_one(QUIET_S)
+        self.assertEqual(self.copies.estimate_rest(self.exchange.downloads[2]), inf)
+        self.assertIsNone(self.keeper._pausing)
+
+    async def test_runners_whose_copies_are_late_still_switch_one_after_another(self):
+        """Found in alapko-marigold-large trouble-2: all loaded within 0.6 s."""
+        (own,) = self.names
+        names = [f"10.0.0.{number}:7" for number in range(2, 9)]
+        first = next(name for name in names if self.turns.get_turn(own, [name], 2))
+        self.names = (own, first)
+        self.driver.held = [HeldModel(model="m", version=1)]
+        self.goals.note(2, self.now)
+        await self.look()
+        self.now += BOUND_S - 1.0
+        await self.bring(2)
+        await self.look()
+        self.assertIsNone(self.keeper._pausing)
+        self.assertEqual(self.driver.orders, [])
+        await self.look(1.0 - LAST_ORDER_S)
+        self.assertEqual([order[0] for order in self.driver.orders], [2])
+
+    async def test_runner_that_paused_goes_on_when_the_last_chunk_hangs(self):
+        await self.copy_all_but_one()
+        self.keeper._pausing = 2
+        await self.look(QUIET_S / 2)
+        self.assertEqual(self.keeper._pausing, 2)
+        await self.look(QUIET_S / 2)
+        self.assertIsNone(self.keeper._pausing)
+
+
+class OriginReturnTests(KeeperTestCase):
+    """A host outside the origin's region, whose origin was away.
+
+    Found in alapko-marigold-large scale-1: when the origin was back, five regions
+    asked it for a copy each, and the first one was whole after ten seconds.
+    """
+
+    origin_region = "bp-a"
+
+    def get_runners(self):
+        runners = super().get_runners()
+        for number in range(3):
+            runners[f"10.1.0.{number}:7"] = Runner(
+                id=f"far-{number}",
+                service="s",
+                address=f"10.1.0.{number}:80",
+                data_centre="bp-a",
+                slots=4,
+                is_draining=False,
+                held=[],
+            )
+        return runners
+
+    async def start_copy(self):
+
+        self.driver.held = [HeldModel(model="m", version=1)]
+        self.goals.note(1, 0.0)
+        self.goals.note(2, self.now)
+        await self.look()
+        return self.exchange.downloads[2]
+
+    def offer(self, download, count):
+        share = SourceShare(range(CHUNKS))
+        download.add_share(share)
+        download.add_available(share, range(count))
+
+    async def test_origin_that_has_sent_nothing_is_not_asked_for_more(self):
+        download = await self.start_copy()
+        await self.look(20.0)
+        self.assertEqual(download.order.origin_chunks, [])
+
+    async def test_origin_helps_once_it_has_had_the_time_for_its_first_copy(self):
+        download = await self.start_copy()
+        await self.look(20.0)
+        self.offer(download, CHUNKS // 2)
+        await self.look(0.1)
+        self.assertEqual(download.order.origin_chunks, [])
+        await self.look(PLANNED_MARGIN_S)
+        self.assertEqual(sorted(download.order.origin_chunks), list(range(CHUNKS)))
+
+    async def test_plan_begins_anew_when_the_origin_fails(self):
+        await self.start_copy()
+        self.now += 20.0
+        self.assertGreater(self.copies.get_delay("2"), 0.0)
+        self.exchange.origin_failure_age = 0.1
+        self.assertLess(self.copies.get_delay("2"), 0.0)
--- a/packages/target/tests/drivers_tests.py
+++ b/packages/target/tests/drivers_tests.py
@@ -11,8 +11,9 @@
     AnswerHead,
     RefuseAttempt,
 )
-from marigold.target.gate.drivers import make_driver, make_session
+from marigold.target.gate.drivers import BackEndError, make_driver, make_session
 
+PIECE_BYTES = 7
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
 TEXT = HEAD % b"text/plain"
 EVENTS = HEAD % b"text/event-stream" + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -170,3 +171,47 @@
     async def test_back_end_that_goes_on_listening_is_not_lost(self):
         _, link = await self.run_against(b"")
         self.assertEqual(link.sent[-1].outcome, "failed")
+
+
+class SplitBackEnd(RawBackEnd):
+    """A back end that sends its answer in pieces and waits for the caller to close."""
+
+    async def _serve(self, reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for start in range(0, len(self.answer), PIECE_BYTES):
+                writer.write(self.answer[start : start + PIECE_BYTES])
+                await writer.drain()
+                await asyncio.sleep(0)
+            await reader.read()
+        except ConnectionError:
+            # The caller left.
+            pass
+        writer.close()
+
+
+class BrokenCodingTests(unittest.IsolatedAsyncioTestCase):
+    """A body that is not coded as its head says, read a moment after the head.
+
+    Found at the entry by generated heads: the library raises a `RuntimeError`.
+    """
+
+    async def read_padded(self, pad):
+        coding = b"Transfer-Encoding: chunked\r\n\nContent-Length: 12\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * pad + b"\r\n" + coding
+        back_end = SplitBackEnd(head + b"whole-answer")
+        port = await back_end.start()
+        self.addAsyncCleanup(back_end.stop)
+        cfg = make_settings("service")
+        cfg.engine.url = f"http://127.0.0.1:{port}"
+        async with make_session(cfg.engine) as session:
+            driver = make_driver(session, cfg.engine)
+            async with driver.run(make_start("r1.1")) as resp:
+                await asyncio.sleep(0.05)
+                while await resp.content.readany():
+                    pass
+
+    async def test_it_is_an_error_of_the_back_end(self):
+        for pad in range(2 * PIECE_BYTES):
+            with self.subTest(pad), self.assertRaises(BackEndError):
+                await self.read_padded(pad)
--- a/packages/target/tests/exchange_tests.py
+++ b/packages/target/tests/exchange_tests.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import unittest
 
@@ -9,6 +10,7 @@
 from marigold.standins.memory_weights import WeightStore
 from marigold.standins.swarm import Swarm
 from marigold.standins.wires import WireMap
+from marigold.target.weights.exceptions import EngineOrderError
 
 SIZE_BYTES = 256_000
 CHUNK_BYTES = 16_000
@@ -93,6 +95,38 @@
         hosts[0].is_live = False
         await self.check_replicas(2)
 
+    async def test_origin_that_failed_is_asked_for_what_is_planned_only(self):
+        hosts = await self.add_hosts("hu-west", "hu-west")
+        self.store.is_down = True
+        self.swarm.order(self.planner)
+        exchange, download = hosts[0].exchange, hosts[0].download
+        share = exchange._origins[download.digest]
+        exchange._rescued[download.digest].update(range(len(download.missing)))
+        exchange._limit_origin(download)
+        async with asyncio.timeout(TIMEOUT_S):
+            while share.allowed != set(download.order.origin_chunks):
+                await asyncio.sleep(0.01)
+        self.assertLess(exchange.get_origin_failure_age(), TIMEOUT_S)
+        self.store.is_down = False
+        await self.check_replicas(2)
+
+    async def test_origin_has_not_failed_where_the_engine_takes_no_chunk(self):
+        hosts = await self.add_hosts("hu-west", "hu-west")
+        engine, refused = hosts[0].engine, []
+        put_chunk = engine.put_chunk
+
+        async def refuse_first(version, index, data):
+            if len(refused) < 3:
+                refused.append(index)
+                raise EngineOrderError("busy")
+            await put_chunk(version, index, data)
+
+        engine.put_chunk = refuse_first
+        self.swarm.order(self.planner)
+        await self.check_replicas(2)
+        self.assertEqual(len(refused), 3)
+        self.assertEqual(hosts[0].exchange.get_origin_failure_age(), math.inf)
+
     async def test_joining_host_is_served_by_the_others(self):
         await self.add_hosts("hu-west", "hu-west")
         self.swarm.order(self.planner)
--- /dev/null
+++ b/packages/target/tests/following_tests.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+
+from companion_fakes import FakeSource
+
+from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
+from marigold.core.links.identity import Identity
+from marigold.core.platform.beliefs import Belief
+from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.spreading import BeliefReceiver, ItemCodec, Publisher
+from marigold.core.platform.weights import dump_manifest
+from marigold.core.schema.generated.deployment import WantedVersion
+from marigold.core.schema.generated.messages import (
+    Ages,
+    AskAges,
+    FollowBelief,
+    ManifestAnswer,
+    ManifestAsk,
+)
+from marigold.core.schema.generated.records import Manifest
+from marigold.target.companion.following import BeliefSource
+from marigold.target.companion.manifests import HubManifests
+
+DIGEST = "0" * 64
+
+
+class FakeHub:
+    """A hub's end of a channel, with one belief."""
+
+    def __init__(self, name, version):
+        self.peer = Identity(name, "entry", "gyor-a", 1)
+        self.belief = Belief("versions")
+        wanted = WantedVersion(model="m", version=version)
+        self.belief.take_all({"m": wanted}, version, "store")
+        self.belief.confirm(version, 1.0)
+        self.publisher = Publisher("versions", self.belief, ItemCodec(WantedVersion))
+        self.sent = []
+        self.answer = None
+        self.source = None
+
+    def put(self, message):
+        self.sent.append(message)
+        match message:
+            case FollowBelief():
+                self.publisher.follow(
+                    lambda change: self.source.take(self, change), message
+                )
+            case AskAges():
+                ages = [self.publisher.get_age()]
+                self.source.take(self, Ages(sent=message.sent, ages=ages))
+            case ManifestAsk() if self.answer is not None:
+                self.source.take(self, self.answer)
+
+
+class FollowingTestCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.versions = FeedFollower(None, 1.0, 1.0, random.Random(1))
+        receiver = BeliefReceiver("versions", self.versions, ItemCodec(WantedVersion))
+        self.source = BeliefSource([(self.versions, receiver)])
+
+    def attach(self, name, version):
+        hub = FakeHub(name, version)
+        hub.source = self.source
+        self.source.attach(hub)
+        return hub
+
+
+class BeliefSourceTests(FollowingTestCase):
+    async def test_beliefs_of_the_hub_that_came_last_count(self):
+        self.attach("h1", 2)
+        self.attach("h2", 3)
+        self.assertEqual(self.versions.items["m"].version, 3)
+
+    async def test_hub_before_is_followed_again(self):
+        first = self.attach("h1", 2)
+        second = self.attach("h2", 3)
+        self.source.detach(second)
+        wanted = {"m": WantedVersion(model="m", version=4)}
+        first.belief.take_changes(wanted, 4, "store")
+        self.assertEqual(self.versions.items["m"].version, 4)
+
+    async def test_older_hub_takes_nothing_back(self):
+        self.attach("h1", 3)
+        self.attach("h2", 2)
+        self.assertEqual(self.versions.items["m"].version, 3)
+
+
+class HubManifestsTests(FollowingTestCase):
+    def setUp(self):
+        super().setUp()
+        self.manifests = HubManifests(FakeSource(2), self.source)
+
+    async def test_without_a_hub_the_origin_is_asked(self):
+        manifest = await self.manifests.get_manifest("m", 2)
+        self.assertEqual(manifest.version, "2")
+
+    async def test_hub_answers_for_the_origin(self):
+        hub = self.attach("h1", 2)
+        manifest = Manifest(
+            model="m", version="7", size=4, chunk_size=4, chunks=[DIGEST], digest=DIGEST
+        )
+        data = dump_manifest(manifest)
+        hub.answer = ManifestAnswer(model="m", version=7, manifest=data)
+        # The answer comes while the question is being put.
+        task = asyncio.create_task(self.manifests.get_manifest("m", 7))
+        self.assertEqual((await task).version, "7")
+
+    async def test_version_that_is_gone(self):
+        self.attach("h1", 2).answer = ManifestAnswer(model="m", version=7, gone=True)
+        with self.assertRaises(WeightsNotFoundError):
+            await self.manifests.get_manifest("m", 7)
+
+    async def test_hub_without_an_answer_is_no_answer(self):
+        self.attach("h1", 2).answer = ManifestAnswer(model="m", version=7)
+        with self.assertRaises(PlatformUnreachableError):
+            await self.manifests.get_manifest("m", 7)
--- a/packages/target/tests/orders_tests.py
+++ b/packages/target/tests/orders_tests.py
@@ -14,7 +14,7 @@
 from marigold.target.exceptions import OldFenceError
 from marigold.target.weights.exchange import WeightExchange
 from marigold.target.weights.orders import OrderTaker, VersionGate
-from marigold.target.weights.pacing import UploadPacer
+from marigold.target.weights.pacing import RatePacer
 
 SIZE_BYTES = 64_000
 CHUNK_BYTES = 16_000
@@ -55,7 +55,7 @@
             WeightSettings(chunk_timeout=0.2),
             self.engine,
             MemoryOrigin(self.store, wires, "host"),
-            UploadPacer(1e9, lambda: False),
+            RatePacer(1e9, lambda: False),
             rng,
         )
         gate = VersionGate(
--- /dev/null
+++ b/packages/target/tests/rescue_tests.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from companion_fakes import CHUNKS, make_manifest
+
+from marigold.core.rollout.planner import PlanHost
+from marigold.core.schema.generated.messages import LoadOrder
+from marigold.target.companion.sharing import FULL_MESH, HOLDERS, SharePlanner
+from marigold.target.weights.download import Download
+from marigold.target.weights.rescue import TurnRescue
+
+STEP_S = 1.0
+
+
+def make_download():
+    order = LoadOrder(
+        order="m@2", fence=0, operation="load", model="m", version="2", manifest=b""
+    )
+    return Download(make_manifest(2)[1], order, random.Random(1))
+
+
+class TurnRescueTests(unittest.TestCase):
+    """Found in alapko-marigold-large quiet-1: 31,000 connections to the origin."""
+
+    hosts = tuple(f"10.0.0.{number}:7700" for number in range(24))
+
+    def choose(self, elapsed):
+        """Return how many hosts ask for each chunk."""
+        asking = dict.fromkeys(range(CHUNKS), 0)
+        for own in self.hosts:
+            policy = TurnRescue(
+                own, lambda version: self.hosts, lambda version: elapsed, STEP_S
+            )
+            for index in policy.choose(make_download(), 1):
+                asking[index] += 1
+        return asking
+
+    def test_nothing_is_asked_before_the_origin_had_its_time(self):
+        self.assertEqual(set(self.choose(-0.1).values()), {0})
+
+    def test_each_chunk_is_asked_for_by_one_host_of_a_region_at_first(self):
+        self.assertEqual(set(self.choose(0.0).values()), {1})
+
+    def test_others_follow_ever_more_slowly(self):
+        self.assertEqual(set(self.choose(1.0).values()), {2})
+        self.assertEqual(set(self.choose(2.9).values()), {2})
+        self.assertEqual(set(self.choose(3.0).values()), {3})
+        self.assertEqual(set(self.choose(7.0).values()), {4})
+
+
+class LinkCountTests(unittest.TestCase):
+    """Links of one host do not grow with the hosts of its region."""
+
+    def plan(self, count, holding):
+        hosts = [
+            PlanHost(f"h{number}", "west", f"10.0.{number}.1:1")
+            for number in range(count)
+        ]
+        others = [
+            PlanHost(f"o{number}", "west", f"10.1.{number}.1:1")
+            for number in range(holding)
+        ]
+        planner = SharePlanner("west")
+        return [planner.plan(host, hosts, others, 96, "m/2") for host in hosts]
+
+    def test_links_are_bounded(self):
+        for count in (24, 114, 570):
+            with self.subTest(count):
+                plans = self.plan(count, count)
+                most = max(len(plan.sources) for plan in plans)
+                self.assertLessEqual(most, 4 + HOLDERS)
+
+    def test_all_hosts_are_linked_to_each_other_by_way_of_others(self):
+        for count in (2, FULL_MESH, FULL_MESH + 1, 24, 114):
+            with self.subTest(count):
+                plans = self.plan(count, 1)
+                links = {
+                    f"10.0.{number}.1:1": set(plan.sources)
+                    for number, plan in enumerate(plans)
+                }
+                reached, new = set(), {"10.0.0.1:1"}
+                while new:
+                    reached |= new
+                    near = {item for host in new for item in links.get(host, ())}
+                    near |= {host for host in links if links[host] & new}
+                    new = near - reached - {"10.1.0.1:1"}
+                self.assertEqual(len(reached), count)
--- a/tests/claims_path_tests.py
+++ b/tests/claims_path_tests.py
@@ -15,6 +15,7 @@
 )
 KEY = {"Idempotency-Key": "plot-7"}
 STARTED = "event=attempt_started"
+CLAIM_WRITES = {"PUT objects/claims", "DELETE objects/claims"}
 
 
 class KeyedRequestTests(FleetTestCase):
@@ -30,8 +31,10 @@
         return (await self.fleet.get_json(url))["executions"]
 
     async def get_writes(self):
+        """Return the writes of claims; leases are renewed at any time."""
         calls = await self.fleet.get_json(f"{self.fleet.platform_url}/calls")
-        return calls["writes"]
+        kinds = calls["by_kind"].items()
+        return sum(n for kind, n in kinds if kind in CLAIM_WRITES)
 
     async def test_booking_runs_once_when_its_entry_is_killed(self):
         first, second = self.fleet.entries
--- a/tests/load_replay_tests.py
+++ b/tests/load_replay_tests.py
@@ -4,13 +4,16 @@
 
 from marigold.standins.bench.load import (
     BASELINES,
+    CELLS,
     CHOSEN,
     QUIET,
     replay,
     replay_switching,
+    scale_fleet,
 )
 
 SEED = 1
+SEEDS = (1, 2, 3)
 # A peak that all engines together cannot take: they do about 140 a second.
 OVERLOAD = 180.0
 
@@ -41,10 +44,34 @@
 
 
 class SwitchingTests(unittest.TestCase):
+    def get_mean(self, policies):
+        runs = [replay_switching(policies, seed, QUIET) for seed in SEEDS]
+        for run in runs:
+            self.assertGreater(run.served, 0.99)
+        return sum(run.worth for run in runs) / len(runs)
+
     def test_switch_of_all_engines_costs_less_than_with_each_baseline(self):
-        chosen = replay_switching(CHOSEN, SEED, QUIET)
-        self.assertGreater(chosen.served, 0.99)
+        chosen = self.get_mean(CELLS)
         for policies in BASELINES:
             with self.subTest(policies.name):
-                base = replay_switching(policies, SEED, QUIET)
-                self.assertGreater(chosen.worth, base.worth)
+                self.assertGreater(chosen, self.get_mean(policies))
+
+
+class ManyEntriesTests(unittest.TestCase):
+    """Forty entries in three data centres, engines added late."""
+
+    @classmethod
+    def setUpClass(cls):
+        fleet = scale_fleet(40, 27, 8, 3)
+        cls.cells = replay(CELLS, SEED, fleet.peak, fleet)
+        cls.entries = replay(CHOSEN, SEED, fleet.peak, fleet)
+
+    def test_hubs_serve_more_in_time_than_entries_by_notes(self):
+        self.assertGreater(self.cells.in_time, 1.05 * self.entries.in_time)
+
+    def test_hubs_serve_nearly_all(self):
+        self.assertGreater(self.cells.served, 0.998)
+
+    def test_data_centres_with_more_traffic_use_places_of_others(self):
+        self.assertIn("spilled=", self.cells.describe())
+        self.assertNotIn("spilled=0 ", self.cells.describe())
