Send again without budget what a dead engine never took

The test now prints the answers.

Change: "unreachable" joins the reasons that prove that the back end never had the attempt, which use no budget and stay bounded by the attempts. The budget without traffic is 16, what two engines of eight slots run, since one request may end two engines.

It now comes back as told, for 10 s at most, and names the answer otherwise.

--- a/packages/entry/src/marigold/entry/routing/calls.py
+++ b/packages/entry/src/marigold/entry/routing/calls.py
@@ -34,6 +34,8 @@
 # Reasons of attempts that the target has proved it never got.
 LOST_BEFORE_START = "link lost before start"
 NOT_ARRIVED = "never arrived"
+# No link was open, or the back end took no connection from its gate.
+UNREACHABLE = "unreachable"
 TAKEN_BYTES = 128 * 1024
 """Bytes after which the gate is told that they were taken: half its window."""
 
@@ -130,7 +132,7 @@
     async def open(self) -> Result[AnswerHead, AttemptFailure]:
         """Start the attempt and wait for the head of its answer."""
         if not self._conn.is_open():
-            return self._fail("unreachable", "no")
+            return self._fail(UNREACHABLE, "no")
         if self._conn.is_leaving():
             # The target was told that no attempt follows.
             return self._fail("leaving", "no")
--- a/packages/entry/src/marigold/entry/routing/retries.py
+++ b/packages/entry/src/marigold/entry/routing/retries.py
@@ -15,12 +15,13 @@
 from marigold.entry.routing.calls import (
     LOST_BEFORE_START,
     NOT_ARRIVED,
+    UNREACHABLE,
     AttemptFailure,
 )
 
 REFUSED_FOR_LOAD = frozenset({"busy", "leaving", "version"})
-# The target proved that it never had the attempt: the next one is its first load.
-NEVER_ARRIVED = frozenset({LOST_BEFORE_START, NOT_ARRIVED})
+# It is proved that the back end never had the attempt: the next one is its first load.
+NEVER_ARRIVED = frozenset({LOST_BEFORE_START, NOT_ARRIVED, UNREACHABLE})
 MAXIMUM_REFUSALS = 16
 BUDGET_WINDOW_S = 10.0
 
@@ -67,7 +68,7 @@
         return last.executed == "no" and last.reason in REFUSED_FOR_LOAD
 
     def has_never_arrived(self) -> bool:
-        """Tell whether the last attempt is proved not to have reached its target."""
+        """Tell whether the last attempt is proved not to have reached a back end."""
         return self.last.executed == "no" and self.last.reason in NEVER_ARRIVED
 
     def add(self, failure: AttemptFailure, host: str) -> None:
@@ -164,8 +165,9 @@
     A refusal for load proves that nothing was run and costs the target little,
     so that it uses no budget; the request waits in its place until a target has
     room, and is given up on after `MAXIMUM_REFUSALS`. An attempt that never
-    reached its target uses no budget either, as all that waited on a lost link
-    comes back at once; it counts among the attempts, and its delay is jittered.
+    reached its back end uses no budget either, as all that waited on a lost link,
+    or went to an engine that had just ended, comes back at once; it counts among
+    the attempts, and its delay is jittered.
     """
 
     def __init__(self, cfg: Retries) -> None:
--- a/packages/entry/tests/retries_tests.py
+++ b/packages/entry/tests/retries_tests.py
@@ -14,6 +14,10 @@
 CUT = AttemptFailure("cut", "unknown")
 BUSY = AttemptFailure("busy", "no")
 VOID = AttemptFailure("link lost before start", "no")
+# Requests that an engine of the users' deployments runs at once.
+ENGINE_SLOTS = 8
+REFUSED_CONNECTION = AttemptFailure("unreachable", "no")
+LOST = AttemptFailure("lost", "unknown")
 
 
 def make_history(*failures, is_idempotent=True):
@@ -51,6 +55,25 @@
         self.assertEqual(get_delay(policy, make_history(*busy)), 0.0)
         self.assertIsNone(get_delay(policy, make_history(*busy, BUSY)))
 
+    def test_refused_connections_use_no_budget_and_are_bounded(self):
+        policy = BudgetedRetry(Retries(budget_floor=0, budget_ratio=0))
+        for _ in range(100):
+            self.assertIsNotNone(get_delay(policy, make_history(REFUSED_CONNECTION)))
+        refused = [REFUSED_CONNECTION] * 3
+        self.assertIsNone(get_delay(policy, make_history(*refused)))
+
+    def test_refused_connection_after_a_crash_is_retried_without_budget(self):
+        policy = BudgetedRetry(Retries(budget_floor=1, budget_ratio=0))
+        self.assertIsNotNone(get_delay(policy, make_history(LOST)))
+        self.assertIsNone(get_delay(policy, make_history(LOST)))
+        history = make_history(LOST, REFUSED_CONNECTION)
+        self.assertIsNotNone(get_delay(policy, history))
+
+    def test_what_two_lost_engines_ran_is_retried_without_traffic(self):
+        policy = BudgetedRetry(Retries())
+        for _ in range(2 * ENGINE_SLOTS):
+            self.assertIsNotNone(get_delay(policy, make_history(LOST)))
+
     def test_all_that_waited_on_a_lost_link_is_sent_again(self):
         policy = BudgetedRetry(Retries(budget_floor=0, budget_ratio=0))
         for _ in range(100):
--- a/packages/standins/src/marigold/standins/fleet.py
+++ b/packages/standins/src/marigold/standins/fleet.py
@@ -11,6 +11,7 @@
 import asyncio
 import hashlib
 import sys
+import time
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -25,6 +26,8 @@
 ADMINISTRATION_KEY = "administration-key-of-the-fleet"
 LINK_SECRET = "link-secret-of-the-fleet"
 POLL_S = 0.01
+# Longer than the timeouts of an entry's calls to the store, on a busy machine.
+LIST_TIMEOUT_S = 10.0
 
 
 class Host:
@@ -290,8 +293,7 @@
         headers = {"Authorization": f"Bearer {ADMINISTRATION_KEY}"}
         versions = {}
         for name in ("plans", "allowances"):
-            async with self._session.get(f"{url}/{name}", headers=headers) as resp:
-                versions[name] = int(resp.headers["ETag"].strip('"'))
+            versions[name] = await self._read_list_version(f"{url}/{name}", headers)
         body = {"plans": plans, "allowances": allowances, "versions": versions}
         async with self._session.post(url, json=body, headers=headers) as resp:
             answer = await resp.json()
@@ -299,6 +301,23 @@
                 raise FleetError(f"lists were not accepted: {answer}")
             return answer["generation"]
 
+    async def _read_list_version(self, url: str, headers: dict[str, str]) -> int:
+        """Return the version of a list; come back as told while the store is slow.
+
+        Raise `FleetError` with the answer of an entry that has none in time.
+        """
+        until = time.monotonic() + LIST_TIMEOUT_S
+        while True:
+            async with self._session.get(url, headers=headers) as resp:
+                if resp.status == 200:
+                    return int(resp.headers["ETag"].strip('"'))
+                answer = f"{resp.status} {await resp.text()}"
+                pause = float(resp.headers.get("Retry-After", POLL_S))
+                if resp.status != 503 or time.monotonic() + pause > until:
+                    raise FleetError(f"{url}: {answer}")
+            print(f"{url}: {answer}; asked again after {pause} s", file=sys.stderr)
+            await asyncio.sleep(pause)
+
     async def wait_for_generation(self, generation: int, timeout: float = 10.0) -> None:
         """Wait until every running entry has a generation in force."""
         async with asyncio.timeout(timeout):
--- a/tests/quarantine_path_tests.py
+++ b/tests/quarantine_path_tests.py
@@ -25,7 +25,7 @@
 
     async def send_innocents(self, entry):
         return [
-            (await self.complete(entry, f"{entry.name} {number}", max_tokens=5))[0]
+            await self.complete(entry, f"{entry.name} {number}", max_tokens=5)
             for number in range(INNOCENTS)
         ]
 
@@ -39,8 +39,13 @@
             errors = await self.send_poison()
         self.assertEqual({error["type"] for error in errors}, {"quarantined"})
         self.assertEqual({error["executed"] for error in errors}, {"no"})
-        for statuses in await asyncio.gather(*innocents):
-            self.assertEqual(statuses, [200] * INNOCENTS)
+        failed = [
+            answer
+            for answers in await asyncio.gather(*innocents)
+            for answer in answers
+            if answer[0] != 200
+        ]
+        self.assertEqual(failed, [])
         lost = [
             target.name
             for target in self.fleet.targets
