Send nothing to a runner whose address a newer one has, and wait to open

Engines come back at their old addresses under new names, and the old names stay listed for three heartbeats: 104 sends to them came back with 421 and used up the repeats of the window. An entry without a confirmed configuration refused for 0.1 s, and callers came back to another one that had just started (64, then 58). While all engines load, nothing starts, and the queue took one start a second for its pace and refused what had three others before it (22, then 87).

Ruled out: the search for a hub, 0.06 s an entry; the store, which answered.

Change: of runners at one address the one that started last gets requests; within 1.5 s of its start an entry lets a request wait 0.35 s for the first confirmed configuration; the pace of a queue counts once some runner could start for a second, and until then as much may wait as there are places.

--- a/packages/entry/src/marigold/entry/relay/desk.py
+++ b/packages/entry/src/marigold/entry/relay/desk.py
@@ -63,12 +63,14 @@
         "opens_at",
         "prospects",
         "rate",
+        "room",
         "waiting",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         self.waiting: dict[Demand, asyncio.Future[RunnerView]] = {}
-        self.rate = StartRate()
+        self.rate = StartRate(now)
+        self.room = 0.0
         self.best_start = 0.0
         self.looked_at = -math.inf
         self.opens_at = 0.0
@@ -101,7 +103,7 @@
         self._monotonic = monotonic
         self._boottime = boottime
         self._overflow = overflow
-        self._queues: dict[str, _Queue] = defaultdict(_Queue)
+        self._queues: dict[str, _Queue] = defaultdict(lambda: _Queue(monotonic()))
         self._is_waiting = asyncio.Event()
 
     async def run(self) -> None:
@@ -300,7 +302,18 @@
         if now - queue.looked_at >= TICK_S:
             queue.looked_at = now
             queue.best_start = self._get_best_start(service, now)
-            queue.opens_at = self._get_opening(service, now)
+            listed = [
+                view
+                for view in self._directory.get_listed(service)
+                if not view.is_leaving and not view.is_gone(now)
+            ]
+            opening = min((view.blocked_until for view in listed), default=now)
+            queue.opens_at = max(opening, now)
+            queue.room = sum(
+                max(view.runner.slots - view.get_load(now), 0.0) for view in listed
+            )
+            if not any(view.may_start(now) for view in listed):
+                queue.rate.restart(now)
             queue.prospects.clear()
         return queue
 
@@ -324,15 +337,6 @@
             )
         return prospects[floor]
 
-    def _get_opening(self, service: str, now: float) -> float:
-        """Return when the first runner takes requests that wanted none for a while."""
-        times = [
-            view.blocked_until
-            for view in self._directory.get_listed(service)
-            if not view.is_leaving and not view.is_gone(now)
-        ]
-        return max(min(times, default=now), now)
-
     def _get_best_start(self, service: str, now: float) -> float:
         engine = self._get_engine(service)
         usual_prompt = engine.usual_prompt if engine is not None else 0
@@ -365,6 +369,9 @@
         start = queue.best_start
         if ahead == 0 or self._servability.is_servable(demand, ahead, rate, start, now):
             return
+        if not queue.rate.is_known(now) and ahead < queue.room:
+            # All runners start or load: their places are taken as soon as they open.
+            return
         raise self._make_refusal(queue, now, "more waits than can be served in time")
 
     def _make_refusal(self, queue: _Queue, now: float, reason: str) -> NotServedError:
--- a/packages/entry/src/marigold/entry/relay/directory.py
+++ b/packages/entry/src/marigold/entry/relay/directory.py
@@ -41,6 +41,7 @@
         self._views: dict[str, RunnerView] = {}
         self._by_service: dict[str, list[RunnerView]] = {}
         self._engines: dict[str, list[RunnerView]] = {}
+        self._replaced: set[str] = set()
 
     def sync(self) -> None:
         """Take in what the follower knows."""
@@ -86,11 +87,12 @@
         now = self._monotonic()
         by_service: dict[str, list[RunnerView]] = defaultdict(list)
         engines: dict[str, list[RunnerView]] = defaultdict(list)
+        self._note_replaced()
         for id, view in list(self._views.items()):
             if view.gone_at is not None and now >= view.gone_at and not view.tickets:
                 del self._views[id]
                 continue
-            if not view.runner.is_draining:
+            if not view.runner.is_draining and id not in self._replaced:
                 by_service[view.runner.service].append(view)
             if view.runner.is_engine:
                 host, _ = split_address(view.runner.address)
@@ -98,8 +100,28 @@
         self._by_service = by_service
         self._engines = engines
 
+    def _note_replaced(self) -> None:
+        """Find the runners whose address a newer one has.
+
+        One that crashed is listed for some heartbeats more, beside its successor.
+        """
+        listed = [view.runner for view in self._views.values() if view.gone_at is None]
+        newest: dict[str, Runner] = {}
+        for runner in listed:
+            other = newest.setdefault(runner.address, runner)
+            if runner.started_ms > other.started_ms:
+                newest[runner.address] = runner
+        replaced = set()
+        for runner in listed:
+            successor = newest[runner.address]
+            if runner.started_ms < successor.started_ms:
+                replaced.add(runner.id)
+                if runner.id not in self._replaced:
+                    log.event("runner_replaced", runner=runner.id, by=successor.id)
+        self._replaced = replaced
+
     def get_listed(self, service: str) -> Sequence[RunnerView]:
-        """Return the runners of a service that the store does not list as leaving.
+        """Return the runners of a service that are not leaving or replaced.
 
         Whether one may be sent to now, `RunnerView.is_open` tells.
         """
--- a/packages/entry/src/marigold/entry/relay/front.py
+++ b/packages/entry/src/marigold/entry/relay/front.py
@@ -34,6 +34,11 @@
 # Retry-After of an entry that may not serve by what it knows; callers that come
 # back reach another entry.
 UNKNOWN_RETRY_S = 0.2
+# Seconds after its start in which an entry still expects its first configuration, and
+# that a request waits for it: reading it takes some 0.1 s, and callers leave when
+# nothing was read for a third of their time, which is 0.5 s at the least.
+FIRST_CONFIGURATION_S = 1.5
+FIRST_CONFIGURATION_WAIT_S = 0.35
 
 
 class CallerFront:
@@ -58,6 +63,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._rng = rng
+        self._expects_until = time.monotonic() + FIRST_CONFIGURATION_S
         self.running = 0
         self.is_stopping = False
         self.is_closed = False
@@ -90,9 +96,7 @@
     async def _serve(
         self, http: web.BaseRequest, head: CallerHead, arrived_at: float
     ) -> web.StreamResponse:
-        catalogue = self._source.catalogue
-        if catalogue is None:
-            raise NotServedError("no configuration yet", UNKNOWN_RETRY_S)
+        catalogue = await self._get_catalogue(arrived_at)
         if self.is_closed:
             raise NotServedError("this entry is stopping", UNKNOWN_RETRY_S)
         ticket = self._make_ticket(http, head, catalogue, arrived_at)
@@ -114,6 +118,19 @@
         )
         return resp
 
+    async def _get_catalogue(self, arrived_at: float) -> Catalogue:
+        """Return the catalogue in force; just after the start, wait for the first.
+
+        Other entries may have started with this one, so that a caller who comes back
+        would be refused there.
+        """
+        if not self._source.is_confirmed() and arrived_at < self._expects_until:
+            await self._source.wait_confirmed(FIRST_CONFIGURATION_WAIT_S)
+        catalogue = self._source.catalogue
+        if catalogue is None:
+            raise NotServedError("no configuration yet", self._spread())
+        return catalogue
+
     def _make_ticket(
         self,
         http: web.BaseRequest,
--- a/packages/entry/src/marigold/entry/relay/queueing.py
+++ b/packages/entry/src/marigold/entry/relay/queueing.py
@@ -67,13 +67,27 @@
 
 
 class StartRate:
-    """Starts a second at this entry while requests wait."""
+    """Starts a second at this entry while requests wait.
 
-    __slots__ = ("_starts",)
+    It is known once it was measured over `RATE_WINDOW_S`, in which some runner could
+    start a request: what a pause of all of them held up says nothing of the time
+    after it.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_since", "_starts")
+
+    def __init__(self, now: float) -> None:
+        self._since = now
         self._starts: deque[float] = deque()
 
+    def restart(self, now: float) -> None:
+        """Take in that no runner can start anything now."""
+        self._since = now
+
+    def is_known(self, now: float) -> bool:
+        """Tell whether the rate was measured for long enough."""
+        return now - self._since >= RATE_WINDOW_S
+
     def note_start(self, now: float) -> None:
         """Count a start."""
         self._starts.append(now)
--- a/packages/entry/src/marigold/entry/relay/source.py
+++ b/packages/entry/src/marigold/entry/relay/source.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+
 from marigold.core.logging import get_logger
 from marigold.core.platform.beliefs import Belief
 from marigold.core.schema.generated.deployment import (
@@ -13,6 +16,10 @@
 
 log = get_logger(__name__)
 
+# Seconds between looks for the first confirmation, which comes apart from the
+# configuration where a hub tells both.
+POLL_S = 0.02
+
 
 class CatalogueSource:
     """The catalogue in force, None before one is known.
@@ -28,6 +35,16 @@
         self.catalogue: Catalogue | None = None
         configurations.subscribe(self._take)
 
+    def is_confirmed(self) -> bool:
+        """Tell whether a catalogue is known and the store has vouched for it."""
+        return self.catalogue is not None and self.get_age() is not None
+
+    async def wait_confirmed(self, seconds: float) -> None:
+        """Wait until a catalogue is confirmed, for some seconds at most."""
+        end = time.monotonic() + seconds
+        while not self.is_confirmed() and time.monotonic() < end:
+            await asyncio.sleep(POLL_S)
+
     def get_age(self) -> float | None:
         """Return the seconds since the store vouched for it, None if it never did."""
         return self._configurations.get_age()
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -75,6 +75,11 @@
             return False
         return self.blocked_until <= now and not self.is_gone(now)
 
+    def may_start(self, now: float) -> bool:
+        """Tell whether the runner starts requests while it is not full."""
+        has_weights = self.version_seen is not None or bool(self.runner.held)
+        return self.is_open(now) and (has_weights or not self.runner.is_engine)
+
     def is_gone(self, now: float) -> bool:
         """Tell whether the runner is no longer listed."""
         return self.gone_at is not None and now >= self.gone_at
--- a/packages/entry/tests/relay_desk_tests.py
+++ b/packages/entry/tests/relay_desk_tests.py
@@ -12,7 +12,11 @@
 from marigold.entry.relay.exceptions import NotServedError
 from marigold.entry.relay.floors import MARGIN_S, VersionFloors
 from marigold.entry.relay.placement import EarliestStartPlacement
-from marigold.entry.relay.queueing import InTimeOrder, Servability
+from marigold.entry.relay.queueing import (
+    RATE_WINDOW_S,
+    InTimeOrder,
+    Servability,
+)
 
 BOUND_S = 8.0
 FULL = LoadNote(16, 1, 16)
@@ -91,6 +95,70 @@
             await self.desk.acquire(self.make_ticket())
 
 
+class PowerLossTests(DeskTestCase):
+    """All engines lost power and load again while callers come as before.
+
+    Found on cesnja-najem trouble-1: what waited behind three others was refused, as
+    nothing had started for a second.
+    """
+
+    async def submit(self, count):
+        tasks = []
+        for number in range(count):
+            tasks.append(await self.wait_for(self.make_ticket(str(number))))
+            self.now += 0.01
+        self.addAsyncCleanup(asyncio.gather, *tasks, return_exceptions=True)
+        return tasks
+
+    async def test_what_the_engines_can_take_once_they_are_open_waits(self):
+        self.now += 30.0
+        self.view.is_paused = True
+        tasks = await self.submit(16)
+        self.assertEqual([task.done() for task in tasks], [False] * 16)
+        self.view.is_paused = False
+        self.now += 0.3
+        self.desk.pump("model")
+        await asyncio.sleep(0)
+        # The first prompts go out at once, the others as those are read.
+        self.assertTrue(any(task.done() for task in tasks))
+        for task in tasks:
+            task.cancel()
+
+    async def test_engine_without_weights_counts_as_one_that_loads(self):
+        self.now += 30.0
+        self.view.runner.held = []
+        self.view.is_paused = False
+        self.floors.note("assistant", 1, self.now)
+        tasks = await self.submit(16)
+        self.assertEqual([task.done() for task in tasks], [False] * 16)
+        for task in tasks:
+            task.cancel()
+
+    async def test_more_than_that_is_refused_at_once(self):
+        self.now += 30.0
+        self.view.is_paused = True
+        tasks = await self.submit(24)
+        refused = [task for task in tasks if task.done()]
+        self.assertEqual(len(refused), 8)
+        for task in refused:
+            self.assertIsInstance(task.exception(), NotServedError)
+        for task in tasks:
+            task.cancel()
+
+    async def test_what_is_measured_counts_again_after_a_while(self):
+        self.now += 30.0
+        self.view.is_paused = True
+        tasks = await self.submit(1)
+        self.view.is_paused = False
+        self.view.note_load(FULL, self.now)
+        self.desk.pump("model")
+        self.now += RATE_WINDOW_S
+        tasks += await self.submit(8)
+        self.assertTrue(any(task.done() for task in tasks))
+        for task in tasks:
+            task.cancel()
+
+
 class VersionTests(DeskTestCase):
     def setUp(self):
         super().setUp()
--- a/packages/entry/tests/relay_directory_tests.py
+++ b/packages/entry/tests/relay_directory_tests.py
@@ -53,6 +53,23 @@
         self.list_runners(make_runner("i1", started_ms=2))
         self.assertIsNone(self.directory.find("i1").version_seen)
 
+    def test_newer_runner_at_an_address_replaces_the_older(self):
+        elsewhere = make_runner("i3", address="10.0.0.2:80")
+        self.list_runners(make_runner("i1"), make_runner("i2", started_ms=2), elsewhere)
+        self.assertEqual(self.get_ids(), ["i2", "i3"])
+
+    def test_address_of_a_runner_is_taken_by_another_service(self):
+        other = make_runner("i2", service="plain", is_engine=False, started_ms=2)
+        self.list_runners(make_runner("i1"), other)
+        self.assertEqual(self.get_ids(), [])
+
+    def test_runner_counts_again_when_what_replaced_it_is_gone(self):
+        # The clock of a host may go back before its runner starts again.
+        self.list_runners(make_runner("i1", started_ms=9), make_runner("i2"))
+        self.assertEqual(self.get_ids(), ["i1"])
+        self.list_runners(make_runner("i2"))
+        self.assertEqual(self.get_ids(), ["i2"])
+
     def test_place_of_a_runner(self):
         self.list_runners(make_runner("i1"), make_runner("i2", data_centre="bp-a"))
         near, far = self.directory.find("i1"), self.directory.find("i2")
--- a/packages/entry/tests/relay_queueing_tests.py
+++ b/packages/entry/tests/relay_queueing_tests.py
@@ -8,6 +8,7 @@
 from marigold.entry.relay.baselines import ArrivalOrder
 from marigold.entry.relay.queueing import (
     OLDEST_TURN,
+    RATE_WINDOW_S,
     RETRY_MAXIMUM_S,
     RETRY_SPREAD,
     InTimeOrder,
@@ -63,13 +64,20 @@
 
 class StartRateTests(unittest.TestCase):
     def test_counts_the_starts_of_the_last_second(self):
-        rate = StartRate()
+        rate = StartRate(0.0)
         for tenth in range(30):
             rate.note_start(tenth / 10)
         self.assertAlmostEqual(rate.get(2.9), 10.0, delta=1.0)
 
     def test_is_never_below_one(self):
-        self.assertEqual(StartRate().get(5.0), 1.0)
+        self.assertEqual(StartRate(0.0).get(5.0), 1.0)
+
+    def test_is_unknown_until_runners_could_start_for_a_while(self):
+        rate = StartRate(0.0)
+        self.assertFalse(rate.is_known(RATE_WINDOW_S / 2))
+        self.assertTrue(rate.is_known(RATE_WINDOW_S))
+        rate.restart(5.0)
+        self.assertFalse(rate.is_known(5.0 + RATE_WINDOW_S / 2))
 
 
 class ServabilityTests(unittest.TestCase):
