--- a/packages/entry/src/marigold/entry/relay/minimum_versions.py
+++ b/packages/entry/src/marigold/entry/relay/minimum_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 
 # Seconds before the bound at which the minimum version rises. A request may wait at a
 # runner, and this entry learns of a version slightly after it was named.
@@ -33,6 +34,10 @@
     def _add(self, model: str, version: int, due_at: float) -> None:
         self._due_times.setdefault(model, {}).setdefault(version, due_at)
 
+    def get_due_times(self, model: str) -> Mapping[int, float]:
+        """Return when each known version becomes the minimum."""
+        return self._due_times.get(model, {})
+
     def get(self, model: str, now: float) -> int | None:
         """Return the oldest version that may start requests, None for any."""
         due_times = self._due_times.get(model, {})
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -33,6 +33,7 @@
 )
 from marigold.core.serving import serve_paths
 from marigold.core.settings import load_settings
+from marigold.core.stalls import StallMonitor
 from marigold.entry.hub.hub import Feeds, Hub
 from marigold.entry.hub.membership import CellMembership, maintain_registration
 from marigold.entry.hub.scheduler import EntryScheduler
@@ -95,6 +96,7 @@
         self._clock = HybridClock()
         self._metrics = RelayMetrics()
         self._started_at = estimate_process_start()
+        self._stalls = StallMonitor()
         self._minimum_versions = MinimumVersions()
         self._freshness = KeyFreshness()
         self._retry_budget = SlidingRetryBudget()
@@ -236,6 +238,7 @@
         peers = serve_links(Address(host=host, port=port), self._ctx, self._hub.serve)
         await stack.enter_async_context(peers)
         tasks = [
+            asyncio.create_task(self._stalls.run()),
             asyncio.create_task(self._local_scheduler.run()),
             asyncio.create_task(self._join_cell()),
         ]
@@ -304,12 +307,6 @@
         versions = self._feeds.versions
         for name, wanted in versions.items.items():
             named_at = versions.valid_from.get(name)
-            log.event(
-                "version_named",
-                model=wanted.model,
-                version=wanted.version,
-                seconds=None if named_at is None else get_boottime() - named_at,
-            )
             if named_at is not None:
                 self._minimum_versions.record(wanted.model, wanted.version, named_at)
             else:
@@ -318,6 +315,17 @@
                 self._minimum_versions.record_undated(
                     wanted.model, wanted.version, due_at
                 )
+            now = get_boottime()
+            due_times = self._minimum_versions.get_due_times(wanted.model)
+            log.event(
+                "version_named",
+                model=wanted.model,
+                version=wanted.version,
+                seconds=None if named_at is None else now - named_at,
+                minimum_in=",".join(
+                    f"{known}:{due - now:.3f}" for known, due in due_times.items()
+                ),
+            )
 
     def _reload(self) -> None:
         """Reload the settings; keep the old ones when the new ones are invalid."""
