Date a version's naming before a stall of the process that hears of it

Callers got answers begun on old weights up to 1.1 s after the bound of a new version, at entries that had been suspended, or whose hub had been, while it was named.

Cause: a follower took a change for as old as its handling. A suspended process handles the store's answer when it runs again, and counted the bound from then; its hub, and the age in the hub's message, passed the late date on to entries that had run all the while. A date that a process believes about the outside was tied to its own progress.

Change: input that a process handles within half a second after a stall may have arrived at its start, so a change is dated then, but not before the store's last answer. A hub sends the boot time at which ages hold; followers bound the difference of the clocks by the fastest exchange of ages, so that a message keeps its date however long it was on its way. Both can only make a date earlier.

Ruled out: a longer margin, as suspensions have no bound.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -51,6 +51,9 @@
     as of the time at which the watch was sent; where their age matters, `change_wait`
     limits the seconds that the next watch waits.
 
+    `get_earliest_arrival` returns the earliest time at which a response that is handled
+    now can have arrived; it is the current time unless the process stood still.
+
     `run` may be cancelled and started again; it continues from the cached contents.
     `is_unavailable` is True while the store does not respond to this process, and
     `on_availability_change` is called when it changes. `has_answered` is True once the
@@ -66,6 +69,7 @@
         clock: Callable[[], float] = get_boottime,
         batch_delay: float = 0.0,
         change_wait: float = math.inf,
+        get_earliest_arrival: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(feed.name if feed is not None else "", clock)
         self._feed = feed
@@ -74,6 +78,7 @@
         self._rng = rng
         self._batch_delay = batch_delay
         self._change_wait = change_wait
+        self._get_earliest_arrival = get_earliest_arrival or clock
         self._has_changes = False
         self._is_disconnected = False
         self._needs_listing = True
@@ -153,7 +158,8 @@
             return None
         now = self._clock()
         if self._is_continuous:
-            return now
+            # The store responds at once, but this process may have stood still.
+            return min(max(self.confirmed_at, self._get_earliest_arrival()), now)
         # The change may have been made while the store was not being watched.
         return min(max(self.confirmed_at, self._get_outage_end()), now)
 
--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Generic, TypeVar
@@ -223,6 +224,7 @@
             items=_encode(parts) if parts else b"",
             returned_age=-1.0 if recovered_at is None else max(now - recovered_at, 0.0),
             ages=self._get_ages(parts, now),
+            at=now,
         )
 
     def _get_ages(self, names: Iterable[str], now: float) -> dict[str, float]:
@@ -282,10 +284,13 @@
         revision = self._cache.revision if known else -1
         return FollowBelief(kind=self.kind, revision=revision, prefix=self._prefix)
 
-    def apply(self, change: BeliefChange, source: str) -> bool:
+    def apply(
+        self, change: BeliefChange, source: str, delay: float | None = None
+    ) -> bool:
         """Apply a change; return False if it does not match the cached revision.
 
-        All parts then have to be requested again with `make_request`. Raise
+        All parts then have to be requested again with `make_request`. `delay` is the
+        maximum seconds since the hub made the change, None if they are unknown. Raise
         `LinkMessageError` for a change that cannot be decoded.
         """
         cache = self._cache
@@ -307,7 +312,8 @@
             name: part for name, part in self._parts.items() if part is not None
         }
         items = self._codec.join(self._parts)
-        valid_from = {name: now - age for name, age in change.ages.items()}
+        made_at = now - (delay or 0.0)
+        valid_from = {name: made_at - age for name, age in change.ages.items()}
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
     def apply_age(self, age: BeliefAge, sent: float) -> None:
@@ -317,12 +323,27 @@
 
 
 class CacheSubscribers:
-    """Follower side of all kinds that a process replicates, from one hub at a time."""
+    """Follower side of all kinds that a process replicates, from one hub at a time.
 
-    __slots__ = ("_by_kind",)
+    `_clock_offset` is an upper bound of the hub's boot time less that of this process,
+    from the fastest exchange of ages. It tells how long a change was on its way, also
+    if either process stood still meanwhile.
+    """
+
+    __slots__ = ("_by_kind", "_clock", "_clock_offset")
 
-    def __init__(self, subscribers: Iterable[CacheSubscriber[Any]]) -> None:
+    def __init__(
+        self,
+        subscribers: Iterable[CacheSubscriber[Any]],
+        clock: Callable[[], float] = get_boottime,
+    ) -> None:
         self._by_kind = {item.kind: item for item in subscribers}
+        self._clock = clock
+        self._clock_offset = math.inf
+
+    def forget_clock(self) -> None:
+        """Forget the clock of the previous hub."""
+        self._clock_offset = math.inf
 
     def request_all(self, hub: Channel) -> None:
         """Request all kinds and their further changes from a hub."""
@@ -335,17 +356,27 @@
         if subscriber is None:
             return
         try:
-            is_applied = subscriber.apply(change, f"hub {hub.peer.process}")
+            is_applied = subscriber.apply(
+                change, f"hub {hub.peer.process}", self._get_delay(change)
+            )
         except LinkMessageError as exc:
             log.event("belief_rejected", kind=change.kind, reason=exc)
             return
         if not is_applied:
             hub.put(subscriber.make_request())
 
+    def _get_delay(self, change: BeliefChange) -> float | None:
+        if change.at < 0 or math.isinf(self._clock_offset):
+            return None
+        return max(self._clock() + self._clock_offset - change.at, 0.0)
+
     def apply_ages(self, message: Ages) -> None:
         """Apply the ages that a hub reports; `sent` is 0 in an unsolicited report."""
         if not message.sent:
             return
+        if message.at >= 0:
+            offset = message.at - message.sent
+            self._clock_offset = min(self._clock_offset, offset)
         for age in message.ages:
             subscriber = self._by_kind.get(age.kind)
             if subscriber is not None:
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -56,11 +56,16 @@
 
 
 class FeedFollowerTestCase(unittest.IsolatedAsyncioTestCase):
-    async def follow(self, *answers):
+    async def follow(self, *answers, get_earliest_arrival=None):
         self.clock = Clock()
         self.feed = ScriptedFeed(self.clock, *answers)
         self.follower = FeedFollower(
-            self.feed, WAIT_S, 5.0, random.Random(1), self.clock
+            self.feed,
+            WAIT_S,
+            5.0,
+            random.Random(1),
+            self.clock,
+            get_earliest_arrival=get_earliest_arrival,
         )
         self.published = []
         self.follower.subscribe(lambda: self.published.append(self.follower.items))
@@ -166,6 +171,32 @@
         self.assertAlmostEqual(age, 19.2)
 
 
+class StalledFollowerTests(FeedFollowerTestCase):
+    """Time of a change that the process may have handled late.
+
+    Guards against requests that began on old weights: the hub was suspended while a
+    version was named, and counted its bound from the end of the suspension.
+    """
+
+    async def follow_stalled(self, first_wait, arrived_before):
+        await self.follow(
+            (0.1, Listing({"a": 1}, 7)),
+            (first_wait, Changes({}, 7)),
+            (1.5, Changes({"a": 2}, 8)),
+            get_earliest_arrival=lambda: self.clock.now - arrived_before,
+        )
+        return self.clock.now - self.follower.valid_from["a"]
+
+    async def test_change_during_a_stall_is_dated_at_its_start(self):
+        self.assertAlmostEqual(await self.follow_stalled(WAIT_S, 1.2), 1.2)
+
+    async def test_change_is_not_dated_before_the_last_response_of_the_store(self):
+        self.assertAlmostEqual(await self.follow_stalled(WAIT_S, 9.0), 1.5)
+
+    async def test_change_after_a_response_that_was_handled_late_may_be_older(self):
+        self.assertAlmostEqual(await self.follow_stalled(WAIT_S + 4.0, 5.4), 5.4)
+
+
 class AvailabilityTests(unittest.TestCase):
     """When the store counts as unavailable to a process.
 
--- a/packages/core/tests/replication_tests.py
+++ b/packages/core/tests/replication_tests.py
@@ -4,10 +4,13 @@
 import unittest
 
 from marigold.core.exceptions import LinkMessageError
+from marigold.core.links.channels import LocalChannel
+from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.platform.object_cache import ObjectCache
 from marigold.core.platform.replication import (
     SERVICE,
     CacheSubscriber,
+    CacheSubscribers,
     ConfigurationCodec,
     ItemCodec,
     Publisher,
@@ -21,7 +24,9 @@
     Service,
     WeightedService,
 )
-from marigold.core.schema.generated.messages import BeliefChange
+from marigold.core.schema.generated.messages import Ages, BeliefChange
+
+HUB = Identity("entry-1", "entry", "gyor-a", make_incarnation())
 
 
 def make_runner(id, **changes):
@@ -273,6 +278,90 @@
         self.assertEqual(self.cache.valid_from, {})
 
 
+class DelayedChangeTests(ReplicationTestCase):
+    """Time of a change that reached the follower late.
+
+    Guards against requests that began on old weights: entries counted the bound of a
+    version from the arrival of the hub's message, after a suspension of either.
+    """
+
+    codec = ItemCodec(Runner, has_valid_from=True)
+    # The boot time of the hub, less that of the follower.
+    skew = 5000.0
+
+    def setUp(self):
+        super().setUp()
+        self.publisher = Publisher("runners", self.hub, self.codec, self.read_hub_clock)
+        self.subscribers = CacheSubscribers([self.subscriber], self.read_clock)
+        self.channel = LocalChannel(HUB)
+        self.hub.replace_all({"i1": make_runner("i1")}, 5, "store")
+        self.hub.confirm(5, self.read_hub_clock())
+        self.follow()
+        self.deliver()
+
+    def read_hub_clock(self):
+        return self.now + self.skew
+
+    def exchange_ages(self, there=0.001, back=0.001):
+        sent = self.now
+        self.now += there
+        answer = Ages(sent=sent, ages=[], at=self.read_hub_clock())
+        self.now += back
+        self.subscribers.apply_ages(answer)
+
+    def change(self, age=0.0):
+        """Have the hub publish a change; return when the store received it."""
+        items = {"i2": make_runner("i2")}
+        changed_at = self.read_hub_clock() - age
+        self.hub.apply_changes(items, 6, "store", changed_at=changed_at)
+        return self.now - age
+
+    def deliver(self):
+        sent, self.sent[:] = list(self.sent), []
+        for change in sent:
+            self.subscribers.apply(self.channel, change)
+
+    def test_change_that_arrives_after_a_suspension_keeps_its_time(self):
+        self.exchange_ages()
+        changed_at = self.change(age=0.3)
+        self.now += 4.0
+        self.deliver()
+        self.assertAlmostEqual(self.cache.valid_from["i2"], changed_at, delta=0.002)
+        self.assertLessEqual(self.cache.valid_from["i2"], changed_at)
+
+    def test_slow_exchange_of_ages_makes_the_time_earlier_never_later(self):
+        self.exchange_ages(there=0.4, back=0.4)
+        changed_at = self.change()
+        self.now += 0.01
+        self.deliver()
+        self.assertLessEqual(self.cache.valid_from["i2"], changed_at)
+        self.assertGreater(self.cache.valid_from["i2"], changed_at - 0.41)
+
+    def test_fastest_exchange_of_ages_counts(self):
+        self.exchange_ages()
+        self.exchange_ages(there=3.0)
+        changed_at = self.change()
+        self.now += 4.0
+        self.deliver()
+        self.assertAlmostEqual(self.cache.valid_from["i2"], changed_at, delta=0.002)
+
+    def test_other_hub_has_another_clock(self):
+        self.exchange_ages()
+        self.skew = 3000.0
+        self.subscribers.forget_clock()
+        self.exchange_ages()
+        changed_at = self.change()
+        self.now += 4.0
+        self.deliver()
+        self.assertAlmostEqual(self.cache.valid_from["i2"], changed_at, delta=0.002)
+
+    def test_change_counts_from_its_arrival_while_the_clock_is_unknown(self):
+        self.change(age=0.3)
+        self.now += 0.01
+        self.deliver()
+        self.assertAlmostEqual(self.cache.valid_from["i2"], self.now - 0.3)
+
+
 class ConfigurationTests(unittest.TestCase):
     def setUp(self):
         self.hub = ObjectCache("configuration")
--- a/packages/entry/src/marigold/entry/hub/service.py
+++ b/packages/entry/src/marigold/entry/hub/service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from marigold.core.boottime import get_boottime
 from marigold.core.links.channels import Channel
 from marigold.core.logging import get_logger
 from marigold.core.platform.replication import Publisher
@@ -169,7 +170,11 @@
         ages = [item.get_age() for item in self._publishers.values()]
         found = [age for age in ages if age is not None]
         return Ages(
-            sent=sent, ages=found, leaving=self.is_leaving, away=self._is_store_lost()
+            sent=sent,
+            ages=found,
+            leaving=self.is_leaving,
+            away=self._is_store_lost(),
+            at=get_boottime(),
         )
 
     def announce_leaving(self) -> None:
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -126,7 +126,9 @@
         self, adapter: Adapter, store: ClientSession, runners: ClientSession
     ) -> None:
         cfg = self._cfg
-        feeds = self._feeds = make_feeds(cfg, adapter, store, self._rng)
+        feeds = self._feeds = make_feeds(
+            cfg, adapter, store, self._rng, self._stalls.get_earliest_arrival
+        )
         self._registry = adapter.make_member_registry(store)
         self._quarantine = adapter.make_quarantine_registry(store)
         self._make_origin = partial(adapter.make_weight_source, store)
--- a/packages/entry/src/marigold/entry/relay/store_watches.py
+++ b/packages/entry/src/marigold/entry/relay/store_watches.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from collections.abc import Callable
 from typing import TypeVar
 
 from aiohttp import ClientSession
@@ -52,7 +53,11 @@
 
 
 def make_feeds(
-    cfg: RelaySettings, adapter: Adapter, store: ClientSession, rng: random.Random
+    cfg: RelaySettings,
+    adapter: Adapter,
+    store: ClientSession,
+    rng: random.Random,
+    get_earliest_arrival: Callable[[], float],
 ) -> Feeds:
     """Return the followers of the store's feeds that an entry uses."""
     access = cfg.platform
@@ -71,6 +76,7 @@
             rng,
             batch_delay=batch_delay,
             change_wait=change_wait,
+            get_earliest_arrival=get_earliest_arrival,
         )
 
     return Feeds(
--- a/packages/target/src/marigold/target/companion/cache_updater.py
+++ b/packages/target/src/marigold/target/companion/cache_updater.py
@@ -120,6 +120,7 @@
             self._subscribe(self._hubs[-1])
 
     def _subscribe(self, hub: Channel) -> None:
+        self._subscribers.forget_clock()
         self._subscribers.request_all(hub)
         hub.put(AskAges(sent=get_boottime()))
 
