Keep superseded versions and their dates across restarts of entries

Callers got answers begun on weights that were two versions old, up to the time limit of the newest version, at entries that had started after that one was named.

Cause: the store names the newest version only, and a process kept the earlier ones in its own memory. An entry that started later knew nothing of the version in between, whose time limit ends first; once such entries were the hub, nobody did. Knowledge that the store does not hold was not handed on to the next process.

Change: the follower of wanted versions keeps superseded ones under names of their own, with the times at which they were named, eight for each model; they are replicated like other items, so that a new entry learns them from its hub and passes them on when it is the hub. A version of unknown time stays undated, and counts from before the start. Companions load the newest version only, as before.

Ruled out: dates in the store, as clocks of hosts differ and step; taking any unknown version as named long ago, which would refuse requests that may still run.

--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -16,7 +16,8 @@
 
 T = TypeVar("T")
 Subscriber = Callable[[], None]
-UNKNOWN_TIMES: Mapping[str, float] = {}
+Times = Mapping[str, float | None]
+UNKNOWN_TIMES: Times = {}
 
 
 def _find_changed(before: Mapping[str, T], after: Mapping[str, T]) -> list[str]:
@@ -67,13 +68,13 @@
         revision: int,
         source: str,
         changed_at: float | None = None,
-        valid_from: Mapping[str, float] = UNKNOWN_TIMES,
+        valid_from: Times = UNKNOWN_TIMES,
     ) -> bool:
         """Replace all items and return True, or return False for an older revision.
 
         For items that differ from the cached ones, `valid_from` gives by name when the
-        store received them. `changed_at` is used for those that it does not name, None
-        if their time is unknown.
+        store received them, None if it is unknown. `changed_at` is used in the same way
+        for those that it does not name.
         """
         if revision < self.revision:
             log.event(
@@ -85,13 +86,13 @@
             )
             return False
         self.revision = revision
-        if dict(items) != self.items:
-            before, self.items = self.items, dict(items)
+        after = dict(items)
+        times = {**valid_from, **self._keep_superseded(after)}
+        if after != self.items:
+            before, self.items = self.items, after
             # Most kinds have no such times, and comparing long lists is expensive.
-            if changed_at is not None or valid_from or self.valid_from:
-                self._update_valid_from(
-                    _find_changed(before, items), changed_at, valid_from
-                )
+            if changed_at is not None or times or self.valid_from:
+                self._update_valid_from(_find_changed(before, after), changed_at, times)
             self._publish("listed", len(items), source)
         return True
 
@@ -112,17 +113,25 @@
                 changed.pop(name, None)
             else:
                 changed[name] = item
+        kept = self._keep_superseded(changed)
         # An item that was rewritten without a change keeps its time.
         new = [name for name in items if self.items.get(name) != items[name]]
         self.items = changed
-        self._update_valid_from(new, changed_at, UNKNOWN_TIMES)
+        self._update_valid_from([*new, *kept], changed_at, kept)
         self._publish("changed", len(items), source)
 
+    def _keep_superseded(self, items: dict[str, T]) -> Times:
+        """Add current items to keep to the next ones; return the times of those added.
+
+        Most kinds keep none.
+        """
+        return UNKNOWN_TIMES
+
     def _update_valid_from(
         self,
         names: Iterable[str],
         changed_at: float | None,
-        valid_from: Mapping[str, float],
+        valid_from: Times,
     ) -> None:
         for name in names:
             time = valid_from.get(name, changed_at)
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -308,6 +308,9 @@
     def _record_versions(self) -> None:
         versions = self._feeds.versions
         for name, wanted in versions.items.items():
+            due_times = self._minimum_versions.get_due_times(wanted.model)
+            if wanted.version in due_times:
+                continue
             named_at = versions.valid_from.get(name)
             if named_at is not None:
                 self._minimum_versions.record(wanted.model, wanted.version, named_at)
--- a/packages/entry/src/marigold/entry/relay/store_watches.py
+++ b/packages/entry/src/marigold/entry/relay/store_watches.py
@@ -11,6 +11,7 @@
 
 from marigold.core.platform.adapter import Adapter, Feed
 from marigold.core.platform.feeds import UNAVAILABLE_AFTER_S, FeedFollower
+from marigold.core.platform.version_follower import VersionFollower
 from marigold.core.schema.generated.settings import (
     Bounds,
     RelaySettings,
@@ -68,8 +69,9 @@
         wait: float,
         batch_delay: float = 0.0,
         change_wait: float = math.inf,
+        cls: type[FeedFollower[T]] = FeedFollower,
     ) -> FeedFollower[T]:
-        return FeedFollower(
+        return cls(
             feed,
             wait,
             access.call_timeout,
@@ -86,6 +88,6 @@
             change_wait=CONFIRMATION_WAIT_S,
         ),
         follow(adapter.make_runner_feed(store), wait, RUNNER_BATCH_S),
-        follow(adapter.make_version_feed(store), wait),
+        follow(adapter.make_version_feed(store), wait, cls=VersionFollower),
         follow(adapter.make_member_feed(store), wait, MEMBER_BATCH_S),
     )
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -345,11 +345,17 @@
                 schedule.add(version, get_boottime())
 
     def _add_named_versions(self, schedule: VersionSchedule, model: str) -> None:
-        for name, wanted in self._versions.items.items():
-            if wanted.model == model:
-                named_at = self._versions.valid_from.get(name, get_boottime())
-                schedule.add(wanted.version, named_at)
-                log.event("version_named", model=model, version=wanted.version)
+        named = {
+            name: wanted
+            for name, wanted in self._versions.items.items()
+            if wanted.model == model
+        }
+        # A hub also sends superseded versions, which are not to be loaded any more.
+        name = max(named, key=lambda item: named[item].version, default=None)
+        if name is not None:
+            version = named[name].version
+            schedule.add(version, self._versions.valid_from.get(name, get_boottime()))
+            log.event("version_named", model=model, version=version)
 
     async def _get_metrics(self, req: web.Request) -> web.Response:
         return web.Response(text=self._metrics.render())
