Date a change from lost history before the loss

Callers can get answers begun on old weights: a version that was named while the store discarded its history counts from the listing that shows it, which may be a second or more after its naming.

Cause: a watch that ends with 410 left the follower continuous, so that the listing after it dated its changes at its arrival. The store may have accepted the change at any time since the last watch.

The new test fails on the code before (0.0 != 1.5).

Change: a follower that lost its history is not continuous until its next watch, as after any other failed call. Dates can only get earlier, and not before the last confirmation.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -119,6 +119,8 @@
             except HistoryLostError as exc:
                 log.event("history_lost", feed=self.name, reason=exc)
                 self._needs_listing = True
+                # The change may be as old as the last watch.
+                self._is_continuous = False
                 await asyncio.sleep(delay * (0.5 + self._rng.random()))
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
             except (PlatformError, TimeoutError) as exc:
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -166,6 +166,17 @@
     async def test_change_after_a_short_outage_is_dated_before_it(self):
         self.assertAlmostEqual(await self.follow_after_failures(2.0, 0.3, 0.3), 3.2)
 
+    async def test_change_in_lost_history_is_dated_before_the_loss(self):
+        """Guards against a version that counted from the listing that showed it."""
+        await self.follow(
+            (0.1, Listing({"a": 1}, 7)),
+            (WAIT_S, Changes({}, 7)),
+            (1.0, HistoryLostError("gone")),
+            (0.5, Listing({"a": 2}, 9)),
+        )
+        age = self.clock.now - self.follower.valid_from["a"]
+        self.assertAlmostEqual(age, 1.5)
+
     async def test_suspended_process_records_no_outage(self):
         age = await self.follow_after_failures(9.0, 0.3, 9.0, 0.3)
         self.assertAlmostEqual(age, 19.2)
