Count an outage of the store only over calls that follow one another

Callers can get answers begun on old weights: a version that the store accepted between two failed calls of a follower counts from the second one.

Cause: the calls whose failures make up an outage need not be a row. An outage was kept when a process left the store to another hub and watched it again later, and a suspension was noticed during a call, not during the pause before the next one.

The new tests fail on the code before (2.0 != 5.0; 2.16 not greater than 20.0).

Change: each run of a follower starts without an outage, and a retry that is late by more than a call may be starts a new one. Dates can only get earlier.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -35,7 +35,8 @@
 # Time over which calls have to fail to count as an outage; a single call may fail at
 # any time.
 OUTAGE_S = 1.0
-# A call that exceeds its timeout by this time shows that the process was suspended.
+# A call that exceeds its timeout, or a retry that is late, by this time shows that the
+# process was suspended.
 SUSPENSION_S = 0.5
 # Time without a response, in addition to the wait of a watch, after which the store
 # counts as unavailable. It covers several short calls, since single ones may fail.
@@ -86,6 +87,7 @@
         self._is_resumed = False
         self._responded_at: float | None = None
         self._outage: tuple[float, float] | None = None
+        self._retry_at = math.inf
         self._unavailable_timer: asyncio.TimerHandle | None = None
         self.is_unavailable = False
         self.has_answered = False
@@ -101,6 +103,8 @@
         """Follow the feed until cancelled."""
         self.has_answered = False
         self._is_continuous = False
+        # The store may have been available since the last run.
+        self._outage = None
         # Contents received from a hub replace the initial listing.
         self._is_resumed = self.confirmed_at is not None
         self._needs_listing = self._needs_listing and not self._is_resumed
@@ -121,13 +125,18 @@
                 self._needs_listing = True
                 # The change may be as old as the last watch.
                 self._is_continuous = False
-                await asyncio.sleep(delay * (0.5 + self._rng.random()))
+                await self._pause(delay)
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
             except (PlatformError, TimeoutError) as exc:
                 self._record_failure(exc, sent_at)
-                await asyncio.sleep(delay * (0.5 + self._rng.random()))
+                await self._pause(delay)
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
 
+    async def _pause(self, delay: float) -> None:
+        seconds = delay * (0.5 + self._rng.random())
+        self._retry_at = self._clock() + seconds
+        await asyncio.sleep(seconds)
+
     async def _follow_once(self) -> bool:
         """List or watch once; return True after a watch, which needs the history."""
         if self._needs_listing:
@@ -243,6 +252,8 @@
             self._outage = None
             return
         first = sent_at if self._outage is None else self._outage[0]
+        if sent_at > self._retry_at + SUSPENSION_S:
+            first = sent_at
         self._outage = (first, sent_at)
 
     def _record_failure(self, exc: Exception, sent_at: float) -> None:
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -182,6 +182,66 @@
         self.assertAlmostEqual(age, 19.2)
 
 
+class InterruptedOutageTests(unittest.TestCase):
+    """Time of a change after failed calls between which the store was not tried.
+
+    Guards against a version that was dated at the second of two failed calls, though
+    the store had accepted it between them.
+    """
+
+    def setUp(self):
+        self.offset = 0.0
+
+    def read_clock(self):
+        return get_time() + self.offset
+
+    def run_follower(self, script, *answers):
+        """Run a script with a follower; return the age of the change that it got."""
+
+        async def main():
+            feed = TimedFeed((0.0, Listing({"a": 1}, 7)), *answers)
+            follower = FeedFollower(
+                feed, WAIT_S, 1.0, random.Random(1), self.read_clock
+            )
+            await script(follower)
+            return self.read_clock() - follower.valid_from["a"]
+
+        return run_virtual(main())
+
+    async def run_for(self, follower, seconds):
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def test_outage_does_not_last_while_another_process_follows_the_store(self):
+        error = PlatformUnreachableError("away")
+
+        async def script(follower):
+            await self.run_for(follower, 3.0)
+            await asyncio.sleep(20.0)
+            follower.confirm(7, self.read_clock())
+            await asyncio.sleep(3.0)
+            await self.run_for(follower, 2.0)
+
+        answers = [(0.0, error)] * 8 + [(0.0, Changes({"a": 2}, 8))]
+        age = self.run_follower(script, *answers)
+        self.assertAlmostEqual(age, 5.0)
+
+    def test_outage_does_not_last_through_a_suspension_between_two_calls(self):
+        error = PlatformUnreachableError("away")
+
+        async def script(follower):
+            task = asyncio.create_task(self.run_for(follower, 3.0))
+            await asyncio.sleep(0.5)
+            self.offset = 20.0
+            await task
+
+        answers = [(0.0, error)] * 4 + [(0.0, Changes({"a": 2}, 8))]
+        age = self.run_follower(script, *answers)
+        self.assertGreater(age, 20.0)
+
+
 class StalledFollowerTests(FeedFollowerTestCase):
     """Time of a change that the process may have handled late.
 
