Keep the date of a version in the state that a new hub sends late

Callers can get answers begun on old weights at an entry that stands still while it attaches to another hub, as entries do when a hub is suspended or killed.

Cause: the state of a new hub came before the first answer that compares the clocks, so its ages counted from its arrival. The answer on which the entry had chosen that hub was not used, and a companion, or the follower of a hub that sends no clock, has none.

Change: the first answer of a hub compares the clocks before it is followed. While they are unknown, the state counts from its request, before which no hub can have sent it.

--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -275,10 +275,12 @@
         self._clock = clock
         self._parts: Parts = {}
         self._is_synced = False
+        self._requested_at = 0.0
 
     def make_request(self) -> FollowBelief:
         """Start a new synchronisation and return the request to the hub."""
         self._is_synced = False
+        self._requested_at = self._clock()
         self._parts = _select(self._codec.split(self._cache.items), self._prefix)
         known = self._cache.confirmed_at is not None
         revision = self._cache.revision if known else -1
@@ -312,7 +314,10 @@
             name: part for name, part in self._parts.items() if part is not None
         }
         items = self._codec.join(self._parts)
-        made_at = now - (delay or 0.0)
+        if delay is not None:
+            made_at = now - delay
+        else:
+            made_at = self._requested_at if change.whole else now
         valid_from = {name: made_at - age for name, age in change.ages.items()}
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
@@ -345,6 +350,12 @@
         """Forget the clock of the previous hub."""
         self._clock_offset = math.inf
 
+    def record_clock(self, message: Ages) -> None:
+        """Compare the hub's clock with that of this process."""
+        if message.sent and message.at >= 0:
+            offset = message.at - message.sent
+            self._clock_offset = min(self._clock_offset, offset)
+
     def request_all(self, hub: Channel) -> None:
         """Request all kinds and their further changes from a hub."""
         for subscriber in self._by_kind.values():
@@ -374,9 +385,7 @@
         """Apply the ages that a hub reports; `sent` is 0 in an unsolicited report."""
         if not message.sent:
             return
-        if message.at >= 0:
-            offset = message.at - message.sent
-            self._clock_offset = min(self._clock_offset, offset)
+        self.record_clock(message)
         for age in message.ages:
             subscriber = self._by_kind.get(age.kind)
             if subscriber is not None:
--- a/packages/core/tests/replication_tests.py
+++ b/packages/core/tests/replication_tests.py
@@ -355,6 +355,16 @@
         self.deliver()
         self.assertAlmostEqual(self.cache.valid_from["i2"], changed_at, delta=0.002)
 
+    def test_state_counts_from_its_request_while_the_clock_is_unknown(self):
+        self.change(age=0.3)
+        self.sent.clear()
+        self.subscribers.forget_clock()
+        self.follow()
+        requested_at = self.now
+        self.now += 4.0
+        self.deliver()
+        self.assertAlmostEqual(self.cache.valid_from["i2"], requested_at - 0.3)
+
     def test_change_counts_from_its_arrival_while_the_clock_is_unknown(self):
         self.change(age=0.3)
         self.now += 0.01
--- a/packages/entry/src/marigold/entry/hub/session.py
+++ b/packages/entry/src/marigold/entry/hub/session.py
@@ -172,6 +172,8 @@
         for age in message.ages:
             if age.kind == CONFIGURATION:
                 self._confirmed_at = message.sent - age.age
+        # Known before the first state comes, which may be delayed like any change.
+        self._subscribers.record_clock(message)
         if self._is_followed:
             self._subscribers.apply_ages(message)
         self.has_answered.set()
