Count the backlog of a stall through the stalls that follow it

Callers can get answers begun on old weights, on a busy or slow host: input that arrived during a suspension and is handled more than half a second after it was dated at its handling, or at a later, shorter stall.

Cause: after a long suspension, the process handles its backlog in long iterations of the event loop, which are stalls themselves. Each stall was counted for itself, so that the suspension was forgotten half a second after its end.

The new test fails on the code before (105.35 != 101.0).

Change: a stall that begins before the backlog of another is handled extends that.

--- a/packages/core/src/marigold/core/stalls.py
+++ b/packages/core/src/marigold/core/stalls.py
@@ -60,9 +60,15 @@
         return self._ticked_at is not None and now - self._ticked_at > TICK_S + STALL_S
 
     def get_earliest_arrival(self) -> float:
-        """Return the earliest time at which input handled now can have arrived."""
-        now = self._clock()
-        starts = [start for start, end in self._stalls if now - end < BACKLOG_S]
+        """Return the earliest time at which input handled now can have arrived.
+
+        A stall that begins before the backlog of another is handled extends that.
+        """
+        earliest = now = self._clock()
         if self._is_stalled(now) and self._ticked_at is not None:
-            starts.append(self._ticked_at)
-        return min(starts, default=now)
+            earliest = self._ticked_at
+        for start, end in reversed(self._stalls):
+            if earliest - end >= BACKLOG_S:
+                break
+            earliest = start
+        return earliest
--- a/packages/core/tests/stalls_tests.py
+++ b/packages/core/tests/stalls_tests.py
@@ -48,6 +48,23 @@
             self.monitor.tick()
         self.assertAlmostEqual(self.monitor.get_earliest_arrival(), stalled_at)
 
+    def test_backlog_of_a_busy_process_takes_longer(self):
+        """Guards against input of a stall that was dated at a later, shorter one."""
+        stalled_at = self.now - TICK_S
+        self.now += 4.0
+        self.monitor.tick()
+        for _ in range(3):
+            self.now += BACKLOG_S * 0.6
+            self.monitor.tick()
+        self.assertAlmostEqual(self.monitor.get_earliest_arrival(), stalled_at)
+
+    def test_stalls_with_time_between_them_count_alone(self):
+        self.now += 4.0
+        self.run_for(BACKLOG_S + 2 * TICK_S)
+        stalled_at = self.now - TICK_S
+        self.now += 1.0
+        self.assertAlmostEqual(self.monitor.get_earliest_arrival(), stalled_at)
+
     def test_monitor_that_does_not_run_reports_no_stall(self):
         monitor = StallMonitor(lambda: self.now)
         self.now += 4.0
