Date a version by what the entry itself knew when its hub knows no time

Callers can be refused without need: an entry whose new hub started after a version was named, and so knows no time for it, took the version as named before its own start and refused older weights at once, seconds before they were due.

Cause: only the hub's knowledge counted, though the entry had a confirmation of the store, from its previous hub, that the version before was still the newest.

The new tests fail on the code before ({2: None, 1: None} != {1: None, 2: 113.0}).

Change: a version newer than the known one was named after the last confirmation of the known one, so no time before that is used for it. Versions up to the known one keep the hub's times. Both are lower bounds of the naming, so the later one may count.

--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -120,6 +120,13 @@
         self._update_valid_from([*new, *kept], changed_at, kept)
         self._publish("changed", len(items), source)
 
+    def get_earliest_change(self, name: str, item: T) -> float | None:
+        """Return the earliest boot time at which a new item can have been stored.
+
+        It is None if that is unknown, as for most kinds.
+        """
+        return None
+
     def _keep_superseded(self, items: dict[str, T]) -> Times:
         """Add current items to keep to the next ones; return the times of those added.
 
--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -319,8 +319,22 @@
         else:
             made_at = self._requested_at if change.whole else now
         valid_from = {name: made_at - age for name, age in change.ages.items()}
+        if self._codec.has_valid_from:
+            self._limit_times(items, valid_from)
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
+    def _limit_times(
+        self, items: Mapping[str, T], valid_from: dict[str, float]
+    ) -> None:
+        """Date no new item before the store confirmed that it did not have it yet.
+
+        The hub may not know as much, if it started later.
+        """
+        for name, item in items.items():
+            earliest = self._cache.get_earliest_change(name, item)
+            if earliest is not None:
+                valid_from[name] = max(valid_from.get(name, earliest), earliest)
+
     def apply_age(self, age: BeliefAge, sent: float) -> None:
         """Apply the age that the hub reports for the kind, as of `sent` or later."""
         if self._is_synced and age.revision >= self._cache.revision:
--- a/packages/core/src/marigold/core/platform/version_follower.py
+++ b/packages/core/src/marigold/core/platform/version_follower.py
@@ -32,6 +32,13 @@
     They are replicated like other items, with the times at which they were named.
     """
 
+    def get_earliest_change(self, name: str, item: WantedVersion) -> float | None:
+        """Return when the store last confirmed that it had no such version yet."""
+        known = self.items.get(_get_store_name(name, item))
+        if known is not None and known.version >= item.version:
+            return None
+        return self.confirmed_at
+
     def _keep_superseded(self, items: dict[str, WantedVersion]) -> Times:
         times: dict[str, float | None] = {}
         for name, item in self.items.items():
--- a/packages/core/tests/version_follower_tests.py
+++ b/packages/core/tests/version_follower_tests.py
@@ -106,6 +106,60 @@
         times = self.get_named_times(self.start_entry(self.publisher))
         self.assertEqual(times, {1: None, 3: 115.0})
 
+    def make_late_hub(self, *versions):
+        """Return the cache of a hub that lists the first version, and sees the others.
+
+        It does not know since when the first one has been wanted.
+        """
+        hub = self.make_follower()
+        for version in versions:
+            self.store_revision += 1
+            items = {MODEL: WantedVersion(model=MODEL, version=version)}
+            changed_at = None if version == versions[0] else self.now
+            hub.replace_all(items, self.store_revision, "store", changed_at)
+            hub.confirm(self.store_revision, self.now)
+        return hub
+
+    def follow(self, cache, hub):
+        codec = ItemCodec(WantedVersion, has_valid_from=True)
+        subscriber = CacheSubscriber("versions", cache, codec, clock=self.read_clock)
+        self.make_publisher(hub).follow(
+            lambda change: subscriber.apply(change, "hub"), subscriber.make_request()
+        )
+
+    def test_version_is_not_dated_before_the_store_was_known_to_lack_it(self):
+        """Guards against an entry that refused older weights at once.
+
+        Its new hub had started after the version was named, and knew no time for it.
+        """
+        cache = self.start_entry(self.publisher)
+        self.now = 113.0
+        cache.confirm(self.store_revision, self.now)
+        self.now = 116.0
+        self.follow(cache, self.make_late_hub(2))
+        self.assertEqual(self.get_named_times(cache), {1: None, 2: 113.0})
+
+    def test_each_version_that_the_entry_missed_is_dated_alike(self):
+        cache = self.start_entry(self.publisher)
+        self.now = 113.0
+        cache.confirm(self.store_revision, self.now)
+        self.now = 116.0
+        self.follow(cache, self.make_late_hub(2, 3))
+        self.assertEqual(self.get_named_times(cache), {1: None, 2: 113.0, 3: 116.0})
+
+    def test_older_version_is_not_dated_by_what_the_entry_knows(self):
+        self.now = 101.0
+        hub = self.make_late_hub(1, 2)
+        self.now = 110.0
+        cache = self.make_follower()
+        self.list_version(cache, 2)
+        self.now = 116.0
+        items = {MODEL: WantedVersion(model=MODEL, version=3)}
+        hub.apply_changes(items, 9, "store", changed_at=self.now)
+        self.follow(cache, hub)
+        times = self.get_named_times(cache)
+        self.assertEqual(times, {1: None, 2: 101.0, 3: 116.0})
+
     def test_number_of_versions_is_limited(self):
         for version in range(2, 40):
             self.name_version(version)
