Count a version's deadline at a companion from the earliest time known

Callers can be refused while runners still hold old weights past their time limit: a companion that starts while other runners hold the new version already took it as named at that moment, and its own deadline for the load came seconds late.

Cause: the first time that a companion has for a version counted. The list of runners is read before the hub's time of the naming, which was then ignored.

The new test fails on the code before (25.0 != 20.0).

Change: an earlier time replaces a later one, as a version was named before any runner held it.

--- a/packages/target/src/marigold/target/companion/version_schedule.py
+++ b/packages/target/src/marigold/target/companion/version_schedule.py
@@ -54,8 +54,17 @@
         self.revision = 0
 
     def add(self, version: int, now: float) -> None:
-        """Add a version that operators named or that other runners hold."""
-        if version in self._versions or version in self._unavailable:
+        """Add a version that operators named or that other runners hold.
+
+        The earliest time counts: other runners hold it only after it was named.
+        """
+        if version in self._unavailable:
+            return
+        known = self._versions.get(version)
+        if known is not None:
+            if now < known.named_at:
+                known.named_at, known.due_at = now, now + self._time_limit
+                self.revision += 1
             return
         scheduled = ScheduledVersion(version, now, now + self._time_limit)
         earlier = [item for item in self._versions.values() if item.version < version]
--- a/packages/target/tests/companion_planning_tests.py
+++ b/packages/target/tests/companion_planning_tests.py
@@ -63,6 +63,18 @@
         self.assertEqual(schedule.get_deadline(3, held=2), 24.0 + BOUND_S)
         self.assertEqual(schedule.get_deadline(3, held=None), 24.0 + BOUND_S)
 
+    def test_version_that_other_runners_hold_is_due_since_its_naming(self):
+        """Guards against a restarted companion that loaded a version seconds late.
+
+        It saw that other runners held the version before it learned of the naming.
+        """
+        schedule = VersionSchedule(BOUND_S, COPY_S)
+        schedule.add(2, 25.0)
+        schedule.add(2, 20.0)
+        schedule.add(2, 27.0)
+        self.assertEqual(schedule.get_named_at(2), 20.0)
+        self.assertEqual(schedule.get_deadline(2, held=1), 20.0 + BOUND_S)
+
     def test_versions_with_enough_time_in_between_are_both_pending(self):
         schedule = VersionSchedule(BOUND_S, COPY_S)
         schedule.add(2, 20.0)
