Log the time left for the start of requests near the bound of a version

When a request begins on old weights after the bound of a newer version, the logs show neither how much time it had when it was sent nor when its stream started, so the ways in which that could happen could not be told apart.

`request_sent` now has the start window and the prefills pending at the runner, `stream_started` the time since the request was sent and what is left, and `attempt_withdrawn` how late the withdrawal came.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 
 from aiohttp import web
 
+from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import HeaderCodec
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.exceptions import BrokenAnswerError
@@ -21,6 +23,8 @@
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
 
+log = get_logger(__name__)
+
 # Bounds in bytes of an answer, which is buffered until it is complete, and of what a
 # stream may send before its first event. Usual answers have some thousand bytes.
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
@@ -201,7 +205,7 @@
         data, self._preamble = self._preamble + data, b""
         if not self._ctx.is_started:
             self._scheduler.mark_started(self._ctx)
-            self._record_first_event(view)
+            self._record_first_event(view, watchdog)
         if self.response is None:
             headers = self._header_codec.make_caller_headers(answer.headers)
             resp = web.StreamResponse(status=answer.status, headers=headers)
@@ -209,6 +213,15 @@
             await self._send_head(resp)
         await self.response.write(data)
 
-    def _record_first_event(self, view: RunnerView) -> None:
-        seconds = self._monotonic() - self._ctx.arrived_at
-        self._metrics.first_event_time.record(seconds)
+    def _record_first_event(self, view: RunnerView, watchdog: AttemptWatchdog) -> None:
+        now = self._monotonic()
+        self._metrics.first_event_time.record(now - self._ctx.arrived_at)
+        start_window = watchdog.get_start_window()
+        if start_window < math.inf:
+            log.routine(
+                "stream_started",
+                request=self._ctx.id,
+                runner=view.id,
+                after=now - self._ctx.sent_at,
+                start_window=start_window,
+            )
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -284,6 +284,8 @@
             version=runner_head.version,
             waited=now - ctx.arrived_at,
             sends=ctx.sends,
+            start_window=start_window,
+            pending=view.count_pending_prefills(now),
         )
         # From here on the runner may run the request, even if this task is cancelled.
         could_have_run, self.may_have_run = self.may_have_run, True
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -7,12 +7,15 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+from marigold.core.logging import get_logger
 from marigold.entry.relay.exceptions import SilentRunnerError, WithdrawnError
 from marigold.entry.relay.requests import RequestContext, get_stream_timeout
 from marigold.entry.relay.views import RunnerView
 
 T = TypeVar("T")
 
+log = get_logger(__name__)
+
 # Seconds between checks of a runner with a request in flight.
 SILENCE_CHECK_S = 0.3
 # Seconds before a runner's weights become too old at which requests that have not
@@ -65,6 +68,10 @@
             self._event_at + start_window - WITHDRAW_LEAD_S if is_stream else math.inf
         )
 
+    def get_start_window(self) -> float:
+        """Return the seconds left in which the runner may start the request."""
+        return self._withdraw_at + WITHDRAW_LEAD_S - self._monotonic()
+
     def record_event(self) -> None:
         """Record an event of the stream."""
         self._event_at = self._monotonic()
@@ -111,6 +118,13 @@
         now = self._monotonic()
         id = self._view.id
         if not ctx.is_started and now >= self._withdraw_at:
+            log.event(
+                "attempt_withdrawn",
+                request=ctx.id,
+                runner=id,
+                after=now - ctx.sent_at,
+                late=now - self._withdraw_at,
+            )
             raise WithdrawnError(f"{id}: not begun before its weights are too old")
         if not ctx.may_retry():
             return
