Ask until a stream begins whether its runner's version may start it

The time left for its start was taken once, at sending, and counted on the monotonic clock from then on. A stream in flight was therefore withdrawn late by the time that its host had been suspended, as that clock stands still meanwhile, and not at all when this entry learnt of the newer version only after it had sent the stream.

Cause: a permission that has to hold when the request begins was asked for when it was sent.

The watchdog now asks the scheduler, at every check until the first event, how long the version that the runner held at sending may still start requests. The scheduler answers from the boot-time clock and the versions known by then.

--- a/packages/entry/src/marigold/entry/hub/scheduler.py
+++ b/packages/entry/src/marigold/entry/hub/scheduler.py
@@ -73,6 +73,7 @@
         self._held: dict[RequestContext, _HeldPlace] = {}
         self.get_minimum_version = local.get_minimum_version
         self.get_start_window = local.get_start_window
+        self.get_version_window = local.get_version_window
 
     def record_request(self, ctx: RequestContext) -> None:
         """Record a caller's request for the retry budgets."""
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -275,7 +276,13 @@
         ctx.is_started = False
         ctx.sent_at = now
         ctx.sends += 1
-        watchdog = AttemptWatchdog(ctx, view, start_window, server.monotonic)
+        version = view.get_version(ctx.model) if ctx.model else None
+        watchdog = AttemptWatchdog(
+            ctx,
+            view,
+            partial(server.scheduler.get_version_window, ctx.model, version),
+            server.monotonic,
+        )
         log.routine(
             "request_sent",
             request=ctx.id,
--- a/packages/entry/src/marigold/entry/relay/scheduler.py
+++ b/packages/entry/src/marigold/entry/relay/scheduler.py
@@ -275,13 +275,19 @@
 
     def get_start_window(self, req: PlacementRequest, view: RunnerView) -> float:
         """Return the seconds left in which a runner's version may start a request."""
-        version = view.get_version(req.model) if req.model else None
+        return self.get_version_window(
+            req.model, view.get_version(req.model) if req.model else None
+        )
+
+    def get_version_window(self, model: str, version: int | None) -> float:
+        """Return the seconds left in which a version may start requests.
+
+        They may become fewer at once, when a newer version is learnt of.
+        """
         if version is None:
             return math.inf
-        return (
-            self._minimum_versions.get_start_cutoff(req.model, version)
-            - self._boottime()
-        )
+        cutoff = self._minimum_versions.get_start_cutoff(model, version)
+        return cutoff - self._boottime()
 
     def _place(
         self, req: PlacementRequest, views: Sequence[RunnerView]
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -34,43 +34,46 @@
     such as after a link failure; one stream stalls, possibly with bytes that are no
     events; or a stream has not started shortly before the runner's weights become too
     old, such as when a burst coincides with a version switch. This applies only to
-    routes whose requests are idempotent. `start_window` is the seconds from now in
-    which the runner may start the request.
+    routes whose requests are idempotent. `get_version_window` returns the seconds left
+    in which the version that the runner held at sending may start the request; it is
+    asked until the request has started, as this process may be suspended or learn of a
+    newer version meanwhile.
     """
 
     __slots__ = (
         "_ctx",
         "_event_at",
+        "_get_version_window",
+        "_is_stream",
         "_monotonic",
         "_next_check_at",
         "_stall_timeout",
         "_view",
-        "_withdraw_at",
     )
 
     def __init__(
         self,
         ctx: RequestContext,
         view: RunnerView,
-        start_window: float,
+        get_version_window: Callable[[], float],
         monotonic: Callable[[], float],
     ) -> None:
         self._ctx = ctx
         self._view = view
+        self._get_version_window = get_version_window
         self._monotonic = monotonic
         self._event_at = self._next_check_at = monotonic()
         # Only a stream shows when it has started.
-        is_stream = ctx.route.is_stream
+        self._is_stream = ctx.route.is_stream
         self._stall_timeout = (
-            STALL_FRACTION * get_stream_timeout(ctx.route) if is_stream else math.inf
-        )
-        self._withdraw_at = (
-            self._event_at + start_window - WITHDRAW_LEAD_S if is_stream else math.inf
+            STALL_FRACTION * get_stream_timeout(ctx.route)
+            if self._is_stream
+            else math.inf
         )
 
     def get_start_window(self) -> float:
-        """Return the seconds left in which the runner may start the request."""
-        return self._withdraw_at + WITHDRAW_LEAD_S - self._monotonic()
+        """Return the seconds left in which the request may start, if that shows."""
+        return self._get_version_window() if self._is_stream else math.inf
 
     def record_event(self) -> None:
         """Record an event of the stream."""
@@ -110,20 +113,21 @@
         """Return the seconds until the next check of the runner."""
         if self._ctx.is_started:
             return SILENCE_CHECK_S
-        remaining = self._withdraw_at - self._monotonic()
+        remaining = self.get_start_window() - WITHDRAW_LEAD_S
         return max(min(SILENCE_CHECK_S, remaining), 0.0)
 
     def _check(self) -> None:
         ctx = self._ctx
         now = self._monotonic()
         id = self._view.id
-        if not ctx.is_started and now >= self._withdraw_at:
+        window = self.get_start_window()
+        if not ctx.is_started and window <= WITHDRAW_LEAD_S:
             log.event(
                 "attempt_withdrawn",
                 request=ctx.id,
                 runner=id,
                 after=now - ctx.sent_at,
-                late=now - self._withdraw_at,
+                late=WITHDRAW_LEAD_S - window,
             )
             raise WithdrawnError(f"{id}: not begun before its weights are too old")
         if not ctx.may_retry():
