Keep a model whose name in the store ends in its version

Found in review of the follower that keeps superseded versions: the only version of a model named m@2, version 2, looked like a superseded one of a model m, which does not exist, and was dropped, so that no minimum would rise for it. The separator is a character that names in the store cannot contain. The new test fails on the code before ({} != {'m@2': ...}).

--- a/packages/core/src/marigold/core/platform/version_follower.py
+++ b/packages/core/src/marigold/core/platform/version_follower.py
@@ -3,8 +3,8 @@
 The store names the newest version of a model only. The time limit of an earlier version
 ends first, also for processes that start after it was superseded:
 
-    before  assistant=2
-    after   assistant=3  assistant@2=2
+    before  {"assistant": 2}
+    after   {"assistant": 3, "assistant<SEPARATOR>2": 2}
 """
 
 from __future__ import annotations
@@ -15,7 +15,8 @@
 from marigold.core.platform.object_cache import Times
 from marigold.core.schema.generated.deployment import WantedVersion
 
-SEPARATOR = "@"
+# Names in the store are parts of paths and contain no control characters.
+SEPARATOR = "\0"
 # Superseded versions that are kept for each name in the store. Versions can be named
 # seconds apart; one that was superseded that often has reached its time limit.
 SUPERSEDED_MAXIMUM = 8
--- a/packages/core/tests/version_follower_tests.py
+++ b/packages/core/tests/version_follower_tests.py
@@ -167,6 +167,11 @@
         known = sorted(item.version for item in cache.items.values())
         self.assertEqual(known, list(range(39 - SUPERSEDED_MAXIMUM, 40)))
 
+    def test_model_whose_name_ends_in_its_version_is_kept(self):
+        items = {"m@2": WantedVersion(model="m@2", version=2)}
+        self.hub.replace_all(items, 8, "store")
+        self.assertEqual(self.hub.items, items)
+
     def test_removed_model_leaves_nothing(self):
         self.name_version(2)
         self.hub.apply_changes({MODEL: None}, 9, "store", changed_at=self.now)
