Withdraw streams that may run only once before their weights expire

Near the bound of a version, a stream that may not be resumed was left at a runner whose weights were about to become too old, and began there however late; only streams that may be resumed were withdrawn.

Cause: the watchdog looked after nothing but idempotent requests, as only these can be sent again.

If its stream still hasn't begun 0.15 s before the bound, it is withdrawn and the caller gets 502, which promises nothing. Before its first event it isn't cut for any other reason, and not at all after it.

Requests to engines that are no streams still aren't withdrawn, as nothing shows when they begin.

--- a/packages/entry/src/marigold/entry/relay/scheduler.py
+++ b/packages/entry/src/marigold/entry/relay/scheduler.py
@@ -38,7 +38,7 @@
 # runner or holds other weights than listed. The runner list is about to show that.
 MISDIRECTED_BACKOFF_S = 0.5
 # Seconds before a version becomes the minimum in which runners with older weights
-# get only requests that they can start at once.
+# get only requests that they can start at once and that may run more than once.
 VERSION_LEAD_S = 1.0
 # Retry-After when no runner of the service can take the request now or soon. A runner
 # takes about this long to start, and callers wait no longer.
@@ -273,6 +273,16 @@
             return None
         return self._minimum_versions.get(req.model, self._boottime())
 
+    def _get_required_version(self, req: PlacementRequest) -> int | None:
+        """Return the oldest version that a request may be sent to, None for any.
+
+        A request that may run only once is not sent again after it was withdrawn.
+        """
+        if not req.model:
+            return None
+        lead = 0.0 if req.is_idempotent else VERSION_LEAD_S
+        return self._minimum_versions.get(req.model, self._boottime() + lead)
+
     def get_start_window(self, req: PlacementRequest, view: RunnerView) -> float:
         """Return the seconds left in which a runner's version may start a request."""
         return self.get_version_window(
@@ -306,7 +316,7 @@
         free = [view for view in views if view.is_open(now)]
         if not req.model or self._get_engine(req.service) is None:
             return free
-        minimum = self.get_minimum_version(req) or 0
+        minimum = self._get_required_version(req) or 0
         upcoming = (
             self._minimum_versions.get(req.model, self._boottime() + VERSION_LEAD_S)
             or 0
@@ -348,7 +358,7 @@
 
         A paused runner counts, as it is loading new weights.
         """
-        minimum = self.get_minimum_version(req)
+        minimum = self._get_required_version(req)
         eligible = self._refresh(req.service, queue, now).eligible
         if minimum not in eligible:
             eligible[minimum] = any(
@@ -382,7 +392,7 @@
         now = self._monotonic()
         if not self._has_eligible_runner(req, queue, now):
             raise NotServedError(
-                f"no runner for it, of version {self.get_minimum_version(req)}"
+                f"no runner for it, of version {self._get_required_version(req)}"
                 " or newer",
                 NO_RUNNER_RETRY_S,
             )
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -33,11 +33,11 @@
     An attempt is aborted in three cases: the runner sends nothing on any connection,
     such as after a link failure; one stream stalls, possibly with bytes that are no
     events; or a stream has not started shortly before the runner's weights become too
-    old, such as when a burst coincides with a version switch. This applies only to
-    routes whose requests are idempotent. `get_version_window` returns the seconds left
-    in which the version that the runner held at sending may start the request; it is
-    asked until the request has started, as this process may be suspended or learn of a
-    newer version meanwhile.
+    old, such as when a burst coincides with a version switch. Requests that may run
+    only once are aborted only in the last case. `get_version_window` returns the
+    seconds left in which the version that the runner held at sending may start the
+    request; it is asked until the request has started, as this process may be suspended
+    or learn of a newer version meanwhile.
     """
 
     __slots__ = (
@@ -81,7 +81,7 @@
 
     async def guard(self, call: Awaitable[T]) -> T:
         """Await a call; raise `SilentRunnerError` or `WithdrawnError` on a stall."""
-        if not self._ctx.route.is_idempotent:
+        if not self._needs_checks():
             return await call
         task = asyncio.ensure_future(call)
         try:
@@ -95,7 +95,7 @@
 
     async def guard_read(self, read: Callable[[], Awaitable[T]]) -> T:
         """Guard a call that may be cancelled and repeated, without a task for it."""
-        if not self._ctx.route.is_idempotent:
+        if not self._needs_checks():
             return await read()
         while True:
             now = self._monotonic()
@@ -109,6 +109,10 @@
             except TimeoutError:
                 continue
 
+    def _needs_checks(self) -> bool:
+        ctx = self._ctx
+        return ctx.route.is_idempotent or (self._is_stream and not ctx.is_started)
+
     def _get_check_delay(self) -> float:
         """Return the seconds until the next check of the runner."""
         if self._ctx.is_started:
--- a/packages/entry/tests/relay_scheduler_tests.py
+++ b/packages/entry/tests/relay_scheduler_tests.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from relay_fakes import ENGINE, make_context, make_view
+from relay_fakes import ENGINE, make_context, make_route, make_view
 
 from marigold.core.platform.adapter import LoadReport
 from marigold.core.schema.generated.deployment import HeldModel
@@ -183,6 +183,14 @@
         self.view.update_load(LoadReport(10, 0, 16), self.now)
         self.assertIs(await self.scheduler.acquire(self.make_context()), self.view)
 
+    async def test_request_that_may_run_once_is_not_sent_to_expiring_weights(self):
+        """It could begin too late there, and be sent nowhere else."""
+        route = make_route(is_idempotent=False, is_resumable=False)
+        self.now += BOUND_S - MARGIN_S - VERSION_LEAD_S / 2
+        with self.assertRaises(NotServedError):
+            await self.scheduler.acquire(self.make_context(route=route))
+        self.assertIs(await self.scheduler.acquire(self.make_context()), self.view)
+
     async def test_request_waits_for_a_runner_that_is_loading(self):
         self.now += BOUND_S
         self.view.is_paused = True
