Log the shared parts of a prompt with each request that lost its runner

A request whose body differs each time has another fingerprint each time, so that nothing in runner_ended or attempt_failed tells which requests that lost their runners have something in common. No decision reads them.

--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -141,6 +141,8 @@
 
     `deadline` is in seconds, None if the caller does not set one. `key` is empty if
     the request has none, and `prompt_tokens` is 0 if their number is not stated.
+    `prompt_parts` holds the ids of the parts of its prompt that other requests may
+    share.
     """
 
     __slots__ = (
@@ -149,6 +151,7 @@
         "key",
         "last_event",
         "model",
+        "prompt_parts",
         "prompt_tokens",
     )
 
@@ -160,6 +163,7 @@
         model: str = "",
         prompt_tokens: int = 0,
         last_event: str = "",
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.attempt = attempt
         self.key = key
@@ -167,6 +171,7 @@
         self.model = model
         self.prompt_tokens = prompt_tokens
         self.last_event = last_event
+        self.prompt_parts = prompt_parts
 
 
 class RunnerRequestHead:
--- a/packages/entry/src/marigold/entry/relay/crashes.py
+++ b/packages/entry/src/marigold/entry/relay/crashes.py
@@ -59,19 +59,26 @@
 class RunnerCrash:
     """A runner that crashed, or may have, while it ran a request.
 
-    `fingerprint` identifies the request. `prior_crashes` is the number of runners
-    that had crashed on it, one after another, when it was sent.
+    `fingerprint` identifies the request, `prompt_parts` the parts of its prompt.
+    `prior_crashes` is the number of runners that had crashed on it, one after another,
+    when it was sent.
     """
 
-    __slots__ = ("fingerprint", "prior_crashes", "request", "view")
+    __slots__ = ("fingerprint", "prior_crashes", "prompt_parts", "request", "view")
 
     def __init__(
-        self, request: str, fingerprint: str, view: RunnerView, prior_crashes: int
+        self,
+        request: str,
+        fingerprint: str,
+        view: RunnerView,
+        prior_crashes: int,
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.request = request
         self.fingerprint = fingerprint
         self.view = view
         self.prior_crashes = prior_crashes
+        self.prompt_parts = prompt_parts
 
     @property
     def incarnation(self) -> str:
@@ -164,6 +171,7 @@
             "runner_ended",
             request=crash.request,
             fingerprint=crash.fingerprint,
+            parts=",".join(crash.prompt_parts),
             runner=crash.incarnation,
             evidence=evidence,
             earlier=crash.prior_crashes,
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -190,6 +190,8 @@
             "attempt_failed",
             request=self._ctx.id,
             fingerprint=self._req.get_fingerprint(),
+            parts=",".join(self._req.prompt_parts),
+            is_started=self._ctx.is_started,
             runner=view.id,
             reason=exc,
             kind=type(exc).__name__,
@@ -232,7 +234,13 @@
 
     def _make_crash(self, view: RunnerView, trial: Trial) -> RunnerCrash:
         fingerprint = self._req.get_fingerprint()
-        return RunnerCrash(self._ctx.id, fingerprint, view, trial.prior_crashes)
+        return RunnerCrash(
+            self._ctx.id,
+            fingerprint,
+            view,
+            trial.prior_crashes,
+            self._req.prompt_parts,
+        )
 
     async def _require_retry(self, exc: RunnerError) -> None:
         """Return if another runner may be tried; else raise `RelayError`."""
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -52,6 +52,7 @@
         "method",
         "organisation",
         "path",
+        "prompt_parts",
     )
 
     def __init__(
@@ -62,6 +63,7 @@
         body: bytes,
         host: str = "",
         organisation: str = "",
+        prompt_parts: tuple[str, ...] = (),
     ) -> None:
         self.method = method
         self.path = path
@@ -69,6 +71,7 @@
         self.body = body
         self.host = host
         self.organisation = organisation
+        self.prompt_parts = prompt_parts
         self._fingerprint = ""
 
     def get_fingerprint(self) -> str:
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -108,6 +108,7 @@
             body,
             http.host,
             ctx.organisation,
+            head.prompt_parts,
         )
         resp = await self._server.serve(http, head, ctx, req, lambda: self.is_stopping)
         seconds = time.monotonic() - arrived_at
@@ -120,6 +121,7 @@
             configuration=catalogue.version,
             seconds=seconds,
             sends=ctx.sends,
+            parts=",".join(head.prompt_parts),
         )
         return resp
 
