Suspect the shared parts of prompts, as well as whole requests

Callers of sound requests lost their runners again and again: one part of prompts crashed each runner that began to answer a request with it, whatever else it held, and few of the requests were alike.

Cause: a suspect was known by the digest of the whole request, so that the next request with the part started from nothing.

A request now has several keys: its fingerprint, and one for each shared part of its prompt, whichever caller and route it comes from. Each key has a case, trials, exchange and persistence as before. Parts that runners have answered tolerate two crashes more. At most one part is refused for a crash, the last one in the prompt among equals; a request that was alone in all crashes is refused in place of its parts. A refused part explains its crashes, which then count against no other key. An answer clears a part if its request was sent after the case was opened, with weights as new; any other shows that it was answered.

--- a/packages/entry/src/marigold/entry/relay/crashes.py
+++ b/packages/entry/src/marigold/entry/relay/crashes.py
@@ -10,7 +10,8 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from types import MappingProxyType
 
 from marigold.core.connections import split_address
 from marigold.core.exceptions import MarigoldError
@@ -59,26 +60,34 @@
 class RunnerCrash:
     """A runner that crashed, or may have, while it ran a request.
 
-    `fingerprint` identifies the request, `prompt_parts` the parts of its prompt.
-    `prior_crashes` is the number of runners that had crashed on it, one after another,
-    when it was sent.
+    `fingerprint` identifies the request, and the keys of `parts` the parts of its
+    prompt, whose ids are the values. `prior_crashes` holds, by key, the number of
+    runners that had crashed on it, one after another, when it was sent. `version` is
+    that of the weights, 0 if it is not known.
     """
 
-    __slots__ = ("fingerprint", "prior_crashes", "prompt_parts", "request", "view")
+    __slots__ = ("fingerprint", "parts", "prior_crashes", "request", "version", "view")
 
     def __init__(
         self,
         request: str,
         fingerprint: str,
         view: RunnerView,
-        prior_crashes: int,
-        prompt_parts: tuple[str, ...] = (),
+        prior_crashes: Mapping[str, int],
+        parts: Mapping[str, str] = MappingProxyType({}),
+        version: int = 0,
     ) -> None:
         self.request = request
         self.fingerprint = fingerprint
         self.view = view
         self.prior_crashes = prior_crashes
-        self.prompt_parts = prompt_parts
+        self.parts = parts
+        self.version = version
+
+    @property
+    def keys(self) -> list[str]:
+        """All keys of the request, the most specific one first."""
+        return [self.fingerprint, *self.parts]
 
     @property
     def incarnation(self) -> str:
@@ -171,9 +180,9 @@
             "runner_ended",
             request=crash.request,
             fingerprint=crash.fingerprint,
-            parts=",".join(crash.prompt_parts),
+            parts=",".join(crash.parts.values()),
             runner=crash.incarnation,
             evidence=evidence,
-            earlier=crash.prior_crashes,
+            earlier=crash.prior_crashes.get(crash.fingerprint, 0),
         )
         self._on_crash(crash)
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -119,9 +119,7 @@
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
         try:
-            return await self._server.suspects.admit(
-                self._ctx.id, self._req.get_fingerprint
-            )
+            return await self._server.suspects.admit(self._ctx.id, self._req)
         except TrialRefusedError as exc:
             raise self._make_error(str(exc), exc.retry_after, QuarantinedError) from exc
 
@@ -233,13 +231,13 @@
         return await self._server.crashes.investigate(crash, is_reset)
 
     def _make_crash(self, view: RunnerView, trial: Trial) -> RunnerCrash:
-        fingerprint = self._req.get_fingerprint()
         return RunnerCrash(
             self._ctx.id,
-            fingerprint,
+            self._req.get_fingerprint(),
             view,
             trial.prior_crashes,
-            self._req.prompt_parts,
+            self._req.get_part_keys(),
+            self._ctx.sent_version,
         )
 
     async def _require_retry(self, exc: RunnerError) -> None:
@@ -272,7 +270,7 @@
         if remaining < MINIMUM_REMAINING_S:
             raise TimeoutError
         self._require_key()
-        if not server.suspects.is_still_allowed(self._req.get_fingerprint, trial):
+        if not server.suspects.is_still_allowed(self._req, trial):
             raise SuspectedMeanwhileError(
                 f"{view.id}: requests like this one are suspected"
             )
@@ -282,6 +280,7 @@
         runner_head = self._make_runner_head(view, now, remaining)
         ctx.is_started = False
         ctx.sent_at = now
+        ctx.sent_version = view.get_version(ctx.model) or 0
         ctx.sends += 1
         watchdog = AttemptWatchdog(ctx, view, start_window, server.monotonic)
         log.routine(
@@ -313,7 +312,9 @@
             answer.abort()
             raise
         if resp.status < STATUS_FAILURE:
-            server.suspects.record_answer(ctx.id, self._req.get_fingerprint)
+            server.suspects.record_answer(
+                ctx.id, self._req, ctx.sent_version, ctx.sent_at
+            )
         return resp
 
     def _make_runner_head(
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -29,6 +29,7 @@
 )
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.relay.views import RunnerView
+from marigold.entry.suspicion.parts import make_part_key
 
 # Seconds to open a connection. A round trip between regions takes a few milliseconds,
 # and a lost packet is retransmitted after one second.
@@ -46,10 +47,12 @@
 
     __slots__ = (
         "_fingerprint",
+        "_part_keys",
         "body",
         "headers",
         "host",
         "method",
+        "model",
         "organisation",
         "path",
         "prompt_parts",
@@ -64,6 +67,7 @@
         host: str = "",
         organisation: str = "",
         prompt_parts: tuple[str, ...] = (),
+        model: str = "",
     ) -> None:
         self.method = method
         self.path = path
@@ -72,7 +76,9 @@
         self.host = host
         self.organisation = organisation
         self.prompt_parts = prompt_parts
+        self.model = model
         self._fingerprint = ""
+        self._part_keys: dict[str, str] | None = None
 
     def get_fingerprint(self) -> str:
         """Return a digest that equal requests of an organisation share."""
@@ -81,6 +87,22 @@
             self._fingerprint = compute_fingerprint(parts, self.body)
         return self._fingerprint
 
+    def get_part_keys(self) -> Mapping[str, str]:
+        """Return the ids of the shared parts of the prompt by key, the last one first.
+
+        Fewer requests share the later parts than the earlier ones.
+        """
+        if self._part_keys is None:
+            self._part_keys = {
+                make_part_key(self.model, part): part
+                for part in reversed(self.prompt_parts)
+            }
+        return self._part_keys
+
+    def get_keys(self) -> list[str]:
+        """Return all keys by which the request is suspected."""
+        return [self.get_fingerprint(), *self.get_part_keys()]
+
 
 class RunnerResponse(ClientResponse):
     """A response that keeps a reference to the protocol of its connection.
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -109,6 +109,7 @@
             http.host,
             ctx.organisation,
             head.prompt_parts,
+            head.model,
         )
         resp = await self._server.serve(http, head, ctx, req, lambda: self.is_stopping)
         seconds = time.monotonic() - arrived_at
--- a/packages/entry/src/marigold/entry/relay/requests.py
+++ b/packages/entry/src/marigold/entry/relay/requests.py
@@ -87,10 +87,18 @@
 
     `timeout` is the seconds that the caller allows, None if it states none. The whole
     answer is due at `deadline`, a time. `sends` counts the attempts that were sent to a
-    runner.
+    runner. The last one was sent at `sent_at`, to a runner with weights of
+    `sent_version`, 0 if it is not known.
     """
 
-    __slots__ = ("deadline", "organisation", "route", "sends", "sent_at")
+    __slots__ = (
+        "deadline",
+        "organisation",
+        "route",
+        "sends",
+        "sent_at",
+        "sent_version",
+    )
 
     def __init__(
         self,
@@ -126,6 +134,7 @@
         self.organisation = organisation
         self.sends = 0
         self.sent_at = 0.0
+        self.sent_version = 0
 
     def may_retry(self) -> bool:
         """Return whether the request may be retried after it may have run."""
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -64,7 +64,7 @@
 
         For a suspected request, the runner is probed to find out whether it crashed.
         """
-        if not trial.prior_crashes:
+        if not trial.suspects:
             self.crashes.record_abandoned(crash)
             return
         task = asyncio.create_task(self._investigate_abandoned(trial.transfer(), crash))
--- a/packages/entry/src/marigold/entry/suspicion/admission.py
+++ b/packages/entry/src/marigold/entry/suspicion/admission.py
@@ -18,6 +18,7 @@
 from marigold.entry.hub.client import HubClient
 from marigold.entry.hub.session import HubSession
 from marigold.entry.relay.crashes import RunnerCrash
+from marigold.entry.relay.forwarding import CallerRequest
 from marigold.entry.suspicion.batching import UpdateBatcher, make_full_update
 from marigold.entry.suspicion.suspects import SuspectTable
 from marigold.entry.suspicion.trials import TrialQueue
@@ -45,30 +46,37 @@
 class Trial:
     """Permission to run a request once.
 
-    `prior_crashes` is the number of known crashes during this request, 0 if it is no
-    suspect.
-    `is_inconclusive` is set while it is unknown whether the runner crashed.
+    `suspects` holds the keys of the request that are suspected, and `prior_crashes` the
+    number of known crashes by key when the request was sent. `is_inconclusive` is set
+    while it is unknown whether the runner crashed.
     """
 
-    __slots__ = ("_finish", "is_inconclusive", "prior_crashes")
+    __slots__ = ("_finishers", "is_inconclusive", "prior_crashes", "suspects")
 
-    def __init__(
-        self, prior_crashes: int = 0, finish: Callable[[bool], None] | None = None
-    ) -> None:
-        self.prior_crashes = prior_crashes
+    def __init__(self) -> None:
+        self.suspects: set[str] = set()
+        self.prior_crashes: dict[str, int] = {}
         self.is_inconclusive = False
-        self._finish = finish
+        self._finishers: list[Callable[[bool], None]] = []
+
+    def add(self, key: str, crashes: int, finish: Callable[[bool], None]) -> None:
+        """Add the permission for a key; `finish` is called when the trial ends."""
+        self.suspects.add(key)
+        self.prior_crashes[key] = crashes
+        self._finishers.append(finish)
 
     def end(self) -> None:
         """End the trial; the next one starts after a delay if this was inconclusive."""
-        finish, self._finish = self._finish, None
-        if finish is not None:
+        finishers, self._finishers = self._finishers, []
+        for finish in finishers:
             finish(self.is_inconclusive)
 
     def transfer(self) -> Trial:
         """Return a new trial, which is to be ended in place of this one."""
-        other = Trial(self.prior_crashes, self._finish)
-        self._finish = None
+        other = Trial()
+        other.suspects = self.suspects
+        other.prior_crashes = self.prior_crashes
+        other._finishers, self._finishers = self._finishers, []
         return other
 
 
@@ -91,35 +99,52 @@
         client.on_suspect_update = self.handle_update
         client.make_suspect_updates = lambda: make_full_update(table, monotonic())
 
-    def is_still_allowed(
-        self, get_fingerprint: Callable[[], str], trial: Trial
-    ) -> bool:
+    def is_still_allowed(self, req: CallerRequest, trial: Trial) -> bool:
         """Return whether an admitted request may still be sent.
 
         Runners may have crashed during requests like it while it waited for a runner.
         """
         if self._table.is_empty:
             return True
-        verdict = self._table.get_verdict(get_fingerprint(), self._monotonic())
-        return verdict == "clear" or (verdict == "suspect" and trial.prior_crashes > 0)
-
-    async def admit(self, request: str, get_fingerprint: Callable[[], str]) -> Trial:
+        now = self._monotonic()
+        for key in req.get_keys():
+            verdict = self._table.get_verdict(key, now)
+            if verdict == "refused" or (
+                verdict == "suspect" and key not in trial.suspects
+            ):
+                return False
+            case = self._table.find(key, now)
+            if case is not None:
+                prior_crashes = trial.prior_crashes.get(key, 0)
+                trial.prior_crashes[key] = max(case.crashes, prior_crashes)
+        return True
+
+    async def admit(self, request: str, req: CallerRequest) -> Trial:
         """Return permission to run a request, or raise `TrialRefusedError`."""
+        trial = Trial()
         if self._table.is_empty:
-            return Trial()
-        fingerprint = get_fingerprint()
-        verdict = self._table.get_verdict(fingerprint, self._monotonic())
-        if verdict == "clear":
-            return Trial()
-        if verdict == "refused":
-            raise self._make_refusal(fingerprint)
-        trial = await self._start_trial(fingerprint)
-        log.event(
-            "suspect_tried",
-            request=request,
-            fingerprint=fingerprint,
-            earlier=trial.prior_crashes,
-        )
+            return trial
+        now = self._monotonic()
+        verdicts = {key: self._table.get_verdict(key, now) for key in req.get_keys()}
+        for key, verdict in verdicts.items():
+            if verdict == "refused":
+                raise self._make_refusal(key)
+        wait_until = asyncio.get_running_loop().time() + TRIAL_WAIT_S
+        try:
+            # In the same order everywhere, as requests hold some while they wait.
+            for key in sorted(key for key in verdicts if verdicts[key] == "suspect"):
+                await self._start_trial(key, trial, wait_until)
+        except BaseException:
+            trial.end()
+            raise
+        for key in trial.suspects:
+            log.event(
+                "suspect_tried",
+                request=request,
+                fingerprint=key,
+                part=req.get_part_keys().get(key, ""),
+                earlier=trial.prior_crashes[key],
+            )
         return trial
 
     def _make_refusal(self, fingerprint: str) -> TrialRefusedError:
@@ -134,16 +159,22 @@
             case.refused_until - now,
         )
 
-    async def _start_trial(self, fingerprint: str) -> Trial:
+    async def _start_trial(
+        self, fingerprint: str, trial: Trial, wait_until: float
+    ) -> None:
+        """Wait for the permission for a suspected key, and add it to the trial."""
         session = self._client.session
         if session is not None and session.is_alive:
-            return await self._start_trial_at_hub(session, fingerprint)
-        return await self._start_trial_locally(fingerprint)
+            await self._start_trial_at_hub(session, fingerprint, trial, wait_until)
+        else:
+            await self._start_trial_locally(fingerprint, trial, wait_until)
 
-    async def _start_trial_at_hub(self, session: HubSession, fingerprint: str) -> Trial:
+    async def _start_trial_at_hub(
+        self, session: HubSession, fingerprint: str, trial: Trial, wait_until: float
+    ) -> None:
         case = self._table.describe(fingerprint, self._monotonic())
         if case is None:
-            return Trial()
+            return
         ask_id = self._client.next_ask_id()
 
         def finish(is_inconclusive: bool) -> None:
@@ -155,7 +186,7 @@
         replies = session.open_replies(ask_id)
         try:
             session.channel.put(TrialAsk(ask=ask_id, case=case))
-            async with asyncio.timeout(TRIAL_WAIT_S):
+            async with asyncio.timeout_at(wait_until):
                 answer = await replies.get()
         except TimeoutError:
             log.event("trial_unanswered", fingerprint=fingerprint)
@@ -163,11 +194,13 @@
             session.close_replies(ask_id)
             if not (isinstance(answer, TrialAnswer) and answer.allowed):
                 finish(False)
-        if isinstance(answer, TrialAnswer) and answer.allowed:
-            return Trial(max(answer.ends, case.ends), finish)
-        raise self._make_refusal(fingerprint)
+        if not (isinstance(answer, TrialAnswer) and answer.allowed):
+            raise self._make_refusal(fingerprint)
+        trial.add(fingerprint, max(answer.ends, case.ends), finish)
 
-    async def _start_trial_locally(self, fingerprint: str) -> Trial:
+    async def _start_trial_locally(
+        self, fingerprint: str, trial: Trial, wait_until: float
+    ) -> None:
         """Start a trial by this process's own table while there is no hub."""
         token = f"own {next(self._trial_ids)}"
         fut: asyncio.Future[tuple[bool, int]] = asyncio.Future()
@@ -179,7 +212,7 @@
         self._trials.request(fingerprint, token, answer)
         is_allowed, crashes = False, 0
         try:
-            async with asyncio.timeout(TRIAL_WAIT_S):
+            async with asyncio.timeout_at(wait_until):
                 is_allowed, crashes = await fut
         except TimeoutError:
             log.event("trial_unanswered", fingerprint=fingerprint)
@@ -188,41 +221,67 @@
                 self._trials.end(token)
         if not is_allowed:
             raise self._make_refusal(fingerprint)
-        return Trial(
-            crashes, lambda is_inconclusive: self._trials.end(token, is_inconclusive)
+        trial.add(
+            fingerprint,
+            crashes,
+            lambda is_inconclusive: self._trials.end(token, is_inconclusive),
         )
 
     def record_crash(self, crash: RunnerCrash) -> None:
         """Record that a runner crashed during a request."""
         now = self._monotonic()
-        if not self._table.record_crash(
-            crash.fingerprint, crash.incarnation, crash.prior_crashes, now
-        ):
-            return
-        case = self._table.find(crash.fingerprint, now)
-        log.event(
-            "request_suspected",
-            request=crash.request,
-            fingerprint=crash.fingerprint,
-            ends=0 if case is None else case.crashes,
-            verdict=self._table.get_verdict(crash.fingerprint, now),
+        changed = self._table.record_crashes(
+            crash.keys, crash.incarnation, crash.prior_crashes, crash.version, now
         )
-        self._batcher.add(crash.fingerprint)
+        for key in changed:
+            case = self._table.find(key, now)
+            log.event(
+                "request_suspected",
+                request=crash.request,
+                fingerprint=key,
+                part=crash.parts.get(key, ""),
+                ends=0 if case is None else case.crashes,
+                proven=case is not None and case.is_proven,
+                verdict=self._table.get_verdict(key, now),
+            )
+            self._batcher.add(key)
+
+    def record_answer(
+        self, request: str, req: CallerRequest, version: int, sent_at: float
+    ) -> None:
+        """Record that a request got a complete response.
 
-    def record_answer(self, request: str, get_fingerprint: Callable[[], str]) -> None:
-        """Record that a request got a complete response."""
-        if self._table.is_empty:
+        `version` is that of the weights, and `sent_at` when the runner got the request.
+        """
+        now = self._monotonic()
+        changed = [
+            key
+            for key in req.get_part_keys()
+            if self._table.record_answer(key, version, sent_at, now)
+        ]
+        if self._table.is_empty and not changed:
             return
-        fingerprint = get_fingerprint()
-        if self._table.clear(fingerprint):
-            log.event("request_cleared", request=request, fingerprint=fingerprint)
-            self._batcher.add(fingerprint)
+        if self._table.clear(req.get_fingerprint()):
+            changed.append(req.get_fingerprint())
+        for key in changed:
+            is_cleared = self._table.find(key, now) is None
+            log.event(
+                "request_cleared" if is_cleared else "part_proven",
+                request=request,
+                fingerprint=key,
+                part=req.get_part_keys().get(key, ""),
+            )
+            self._batcher.add(key)
 
     def handle_update(self, update: SuspectNews) -> None:
         """Apply an update from the hub."""
         now = self._monotonic()
         for case in update.cases:
             self._table.merge(case, now)
+            known = self._table.find(case.fingerprint, now)
+            if known is not None and known.is_proven and not case.proven:
+                # Other processes did not see that runners have answered this part.
+                self._batcher.add(case.fingerprint)
         for fingerprint in update.cleared:
             self._table.clear(fingerprint)
 
--- a/packages/entry/src/marigold/entry/suspicion/suspects.py
+++ b/packages/entry/src/marigold/entry/suspicion/suspects.py
@@ -1,11 +1,18 @@
-"""Suspects: requests during which runners crashed.
+"""Suspects: requests, and shared parts of prompts, during which runners crashed.
 
 Protects against a request that crashes every runner it is sent to and is sent again
-through any entry. Other requests run on the same runners, and runners also crash for
-other reasons, alone or many at once. Only successive crashes count: a crash adds
-nothing if its request was sent before the previous crash was known. The failure of a
-rack that runs many copies of a popular request therefore counts as one crash. A
-complete response at any entry clears a request.
+through any entry, and against a part of prompts that does so in whichever request it
+is. Each request has several keys: its fingerprint, and one key for each shared part of
+its prompt. Other requests run on the same runners, and runners also crash for other
+reasons, alone or many at once. Only successive crashes count: a crash adds nothing if
+its request was sent before the previous crash was known. The failure of a rack that
+runs many copies of a popular request therefore counts as one crash. A complete response
+at any entry clears all keys of its request.
+
+Several keys are in every crash of a deadly part: those of the parts that stand beside
+it, and of requests on the same runner. Parts that runners have answered are tolerated
+longer. Once a part is refused, it explains its crashes, which then count against no
+other key.
 
 Policies do no I/O. Times are seconds of a monotonic clock.
 """
@@ -14,14 +21,18 @@
 
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 from marigold.core.schema.generated.messages import SuspectCase
 from marigold.entry.routing.quarantine import Verdict
+from marigold.entry.suspicion.parts import ProvenParts, is_part_key
 
 # Successive crashes after which a request is refused; the platform's documentation
 # allows three more attempts.
 CRASHES_MAXIMUM = 3
+# Further crashes that are tolerated of a part that runners have answered. Popular parts
+# are beside many crashes that others cause, which are refused before.
+PROVEN_ALLOWANCE = 2
 # Seconds for which a request is suspected after a crash, and refused after the last
 # tolerated one. Each further crash doubles the time of refusal, up to the maximum.
 SUSPECT_S = 120.0
@@ -32,38 +43,87 @@
 PROBATION_S = 600.0
 # Limits on the number of cases, and of runners that are named in each.
 CASES_MAXIMUM = 1024
-RUNNERS_MAXIMUM = 8
+RUNNERS_MAXIMUM = 16
 
 
 class Case:
-    """Case against one request.
+    """Case against one key.
 
     `crashes` counts successive crashes, and `runners` names the incarnations that
-    crashed. The request may be tried again from `refused_until` on, and the case is
-    dropped at `expires_at`.
+    crashed. `version` is the newest version of their weights, 0 if it is not known.
+    `is_proven` is set if a runner has answered a request with the part, before the
+    first crash or soon after. The key may be tried again from `refused_until` on, and
+    the case is dropped at `expires_at`. This process learned of the first crash at
+    `opened_at`.
     """
 
-    __slots__ = ("crashes", "expires_at", "refused_until", "runners")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "crashes",
+        "expires_at",
+        "is_proven",
+        "opened_at",
+        "refused_until",
+        "runners",
+        "version",
+    )
+
+    def __init__(self, now: float = 0.0) -> None:
         self.crashes = 0
         self.runners: list[str] = []
+        self.version = 0
+        self.is_proven = False
+        self.opened_at = now
         self.refused_until = 0.0
         self.expires_at = 0.0
 
+    @property
+    def allowance(self) -> int:
+        """Number of crashes that count nothing."""
+        return PROVEN_ALLOWANCE if self.is_proven else 0
+
+    @property
+    def counted_crashes(self) -> int:
+        """Number of successive crashes beyond the allowance."""
+        return self.crashes - self.allowance
+
+    def is_refused(self, now: float) -> bool:
+        """Return whether the key is refused."""
+        return self.refused_until > now and self.counted_crashes >= CRASHES_MAXIMUM
+
     def add_runners(self, runners: list[str]) -> bool:
         """Add incarnations; return whether any of them is new."""
         new = [item for item in runners if item not in self.runners]
         self.runners = (self.runners + new)[:RUNNERS_MAXIMUM]
         return bool(new)
 
+    def explains(self, runners: Sequence[str], is_refused: bool) -> bool:
+        """Return whether the crashes of this key explain those of another one.
+
+        If that one `is_refused`, they must be more.
+        """
+        if not set(runners) <= set(self.runners):
+            return False
+        return not is_refused or len(runners) < len(self.runners)
+
+    def add_crash(self, crashes: int, now: float) -> bool:
+        """Raise the number of crashes; return whether it was lower."""
+        if crashes <= self.crashes:
+            return False
+        self.crashes = crashes
+        self.expires_at = now + SUSPECT_S
+        excess = self.counted_crashes - CRASHES_MAXIMUM
+        if excess >= 0:
+            self.refused_until = now + min(REFUSED_S * 2**excess, REFUSED_MAXIMUM_S)
+            self.expires_at = self.refused_until + PROBATION_S
+        return True
+
 
 class SuspicionPolicy(ABC):
     """Decides which requests run freely, run one at a time, or are refused."""
 
     @abstractmethod
     def get_verdict(self, fingerprint: str, now: float) -> Verdict:
-        """Return the verdict on a request."""
+        """Return the verdict on a request, or on a part of prompts."""
 
     @abstractmethod
     def record_crash(
@@ -98,7 +158,7 @@
 
 
 class SuspectTable(SuspicionPolicy):
-    """Refuses a request after several successive crashes.
+    """Refuses a request, or a part of prompts, after several successive crashes.
 
     Every process has a table. Cases of other processes are merged by their maximum, so
     that updates may arrive in any order.
@@ -106,10 +166,13 @@
 
     def __init__(self) -> None:
         self._cases: OrderedDict[str, Case] = OrderedDict()
+        self._proofs = ProvenParts()
+        # Parts that may be refused; those that no longer are get removed lazily.
+        self._refused_parts: dict[str, None] = {}
         self._subscribers: list[Callable[[str], None]] = []
 
     def subscribe(self, subscriber: Callable[[str], None]) -> None:
-        """Call a function with the fingerprint after each change."""
+        """Call a function with the key after each change."""
         self._subscribers.append(subscriber)
 
     @property
@@ -118,7 +181,7 @@
         return not self._cases
 
     def find(self, fingerprint: str, now: float) -> Case | None:
-        """Return the case against a request, or None."""
+        """Return the case against a key, or None."""
         case = self._cases.get(fingerprint)
         if case is not None and case.expires_at <= now:
             del self._cases[fingerprint]
@@ -126,39 +189,134 @@
         return case
 
     def get_verdict(self, fingerprint: str, now: float) -> Verdict:
-        """Return the verdict on a request."""
+        """Return the verdict on a key."""
         case = self.find(fingerprint, now)
-        if case is None:
+        if case is None or case.counted_crashes <= 0:
             return "clear"
-        return "refused" if case.refused_until > now else "suspect"
+        return "refused" if case.is_refused(now) else "suspect"
 
     def record_crash(
         self, fingerprint: str, runner: str, prior_crashes: int, now: float
     ) -> bool:
-        """Record a crash during a request; return whether it is new."""
-        case = self._get_or_create(fingerprint, now)
-        is_new = case.add_runners([runner])
-        if prior_crashes + 1 > case.crashes:
-            is_new = True
-            case.crashes = prior_crashes + 1
-            case.expires_at = now + SUSPECT_S
-            if case.crashes >= CRASHES_MAXIMUM:
-                seconds = REFUSED_S * 2 ** (case.crashes - CRASHES_MAXIMUM)
-                case.refused_until = now + min(seconds, REFUSED_MAXIMUM_S)
-                case.expires_at = case.refused_until + PROBATION_S
-        if is_new:
-            self._notify(fingerprint)
-        return is_new
+        """Record a crash during a request with one key; return whether it is new."""
+        changed = self.record_crashes(
+            [fingerprint], runner, {fingerprint: prior_crashes}, 0, now
+        )
+        return bool(changed)
+
+    def record_crashes(
+        self,
+        keys: Sequence[str],
+        runner: str,
+        prior_crashes: Mapping[str, int],
+        version: int,
+        now: float,
+    ) -> list[str]:
+        """Record a crash during a request; return the keys for which it is new.
+
+        `keys` are those of the request, the most specific one first. `prior_crashes`
+        holds the numbers of crashes known when it was sent, and `version` that of the
+        weights. At most one part is refused for the same crash.
+        """
+        changed = []
+        counts: dict[str, int] = {}
+        for key in keys:
+            if self._is_explained(key, [runner], False, now):
+                continue
+            case = self._get_or_create(key, now)
+            case.version = max(case.version, version)
+            if case.add_runners([runner]):
+                changed.append(key)
+            counts[key] = prior_crashes.get(key, 0) + 1
+        culprit = self._find_culprit(counts)
+        for key, crashes in counts.items():
+            case = self._cases[key]
+            if is_part_key(key) and key != culprit:
+                crashes = min(crashes, CRASHES_MAXIMUM - 1 + case.allowance)
+            if case.add_crash(crashes, now) and key not in changed:
+                changed.append(key)
+        for key in changed:
+            self._notify(key)
+        if culprit is not None:
+            self._explain_others(culprit, now)
+        return changed
+
+    def _find_culprit(self, counts: Mapping[str, int]) -> str | None:
+        """Return the part that is to be refused, if any.
+
+        The last one is chosen among equals, as fewer requests share it. If only one
+        request crashed runners with it, that request is refused instead.
+        """
+        culprit, most = None, CRASHES_MAXIMUM - 1
+        for key, crashes in counts.items():
+            counted = crashes - self._cases[key].allowance
+            if is_part_key(key) and counted > most:
+                culprit, most = key, counted
+        if culprit is None:
+            return None
+        runners = set(self._cases[culprit].runners)
+        for key, crashes in counts.items():
+            if is_part_key(key) or crashes < CRASHES_MAXIMUM:
+                continue
+            if runners <= set(self._cases[key].runners):
+                return None
+        return culprit
+
+    def _is_explained(
+        self, key: str, runners: Sequence[str], is_refused: bool, now: float
+    ) -> bool:
+        """Return whether another part is refused for all of a key's crashes."""
+        for name in list(self._refused_parts):
+            case = self.find(name, now)
+            if case is None or not case.is_refused(now):
+                del self._refused_parts[name]
+            elif name != key and case.explains(runners, is_refused):
+                return True
+        return False
+
+    def _explain_others(self, part: str, now: float) -> None:
+        """Drop the cases that a refused part explains."""
+        self._refused_parts[part] = None
+        culprit = self._cases[part]
+        for key, case in list(self._cases.items()):
+            if key != part and culprit.explains(case.runners, case.is_refused(now)):
+                self.clear(key)
+
+    def record_answer(self, key: str, version: int, sent_at: float, now: float) -> bool:
+        """Record a complete response with a part; return whether its case changed.
+
+        A part may have begun to crash runners after that request was sent, or only
+        those with newer weights, so that other responses do not clear it.
+        """
+        self._proofs.add(key, now)
+        case = self.find(key, now)
+        if case is None:
+            return False
+        if sent_at >= case.opened_at and version >= case.version:
+            return self.clear(key)
+        if case.is_proven:
+            return False
+        case.is_proven = True
+        self._notify(key)
+        return True
 
     def merge(self, other: SuspectCase, now: float) -> bool:
-        """Merge another process's case; return whether it added crashes or runners."""
-        case = self._get_or_create(other.fingerprint, now)
+        """Merge another process's case; return whether it added anything."""
+        key = other.fingerprint
+        if self._is_explained(key, other.runners, other.refused > 0, now):
+            return False
+        case = self._get_or_create(key, now)
         is_new = case.add_runners(other.runners) or other.ends > case.crashes
+        if other.proven and not case.is_proven:
+            is_new = case.is_proven = True
+        case.version = max(case.version, other.version)
         case.crashes = max(case.crashes, other.ends)
         case.refused_until = max(case.refused_until, now + other.refused)
         case.expires_at = max(case.expires_at, now + other.left)
         if is_new:
-            self._notify(other.fingerprint)
+            self._notify(key)
+            if is_part_key(key) and case.is_refused(now):
+                self._explain_others(key, now)
         return is_new
 
     def clear(self, fingerprint: str) -> bool:
@@ -169,7 +327,7 @@
         return True
 
     def describe(self, fingerprint: str, now: float) -> SuspectCase | None:
-        """Return the case against a request as a message, or None."""
+        """Return the case against a key as a message, or None."""
         case = self.find(fingerprint, now)
         if case is None:
             return None
@@ -177,8 +335,10 @@
             fingerprint=fingerprint,
             ends=case.crashes,
             runners=case.runners,
-            refused=max(case.refused_until - now, 0.0),
+            refused=case.refused_until - now if case.is_refused(now) else 0.0,
             left=case.expires_at - now,
+            version=case.version,
+            proven=case.is_proven,
         )
 
     def describe_all(self, now: float) -> list[SuspectCase]:
@@ -191,7 +351,8 @@
         if case is None:
             if len(self._cases) >= CASES_MAXIMUM:
                 self._evict(now)
-            case = self._cases[fingerprint] = Case()
+            case = self._cases[fingerprint] = Case(now)
+            case.is_proven = self._proofs.is_proven(fingerprint, now)
         self._cases.move_to_end(fingerprint)
         return case
 
@@ -199,7 +360,7 @@
         """Drop the oldest case that is not refused, or else the oldest of all."""
         oldest = next(iter(self._cases))
         suspects = (
-            name for name, case in self._cases.items() if case.refused_until <= now
+            name for name, case in self._cases.items() if not case.is_refused(now)
         )
         del self._cases[next(suspects, oldest)]
 
--- a/packages/entry/src/marigold/entry/suspicion/trials.py
+++ b/packages/entry/src/marigold/entry/suspicion/trials.py
@@ -1,8 +1,8 @@
 """Queues that let suspects run one at a time.
 
-Requests with the same fingerprint wait for the outcome of the running trial. All of
-them are admitted once it gets a complete response, and refused once it causes the last
-tolerated crash.
+Requests with the same fingerprint, or part of their prompts, wait for the outcome of
+the running trial. All of them are admitted once it gets a complete response, and
+refused once it causes the last tolerated crash.
 """
 
 from __future__ import annotations
@@ -53,8 +53,12 @@
         if case is None:
             answer(True, 0)
             return
+        verdict = self._table.get_verdict(fingerprint, now)
+        if verdict == "clear":
+            answer(True, case.crashes)
+            return
         queue = self._get_or_create(fingerprint, now)
-        if case.refused_until > now or queue.not_before > now:
+        if verdict == "refused" or queue.not_before > now:
             answer(False, case.crashes)
             return
         self._fingerprints[token] = fingerprint
@@ -104,16 +108,18 @@
         """Answer waiting requests as far as the outcome is known."""
         now = self._monotonic()
         case = self._table.find(fingerprint, now)
+        verdict = self._table.get_verdict(fingerprint, now)
+        crashes = 0 if case is None else case.crashes
         is_inconclusive = queue.not_before > now
-        if case is None:
-            self._answer_waiting(queue, True, 0)
-        elif case.refused_until > now or is_inconclusive:
-            self._answer_waiting(queue, False, case.crashes)
+        if verdict == "clear":
+            self._answer_waiting(queue, True, crashes)
+        elif verdict == "refused" or is_inconclusive:
+            self._answer_waiting(queue, False, crashes)
         elif queue.holder is None and queue.waiting:
             queue.holder, answer = queue.waiting.popleft()
-            answer(True, case.crashes)
+            answer(True, crashes)
         is_idle = queue.holder is None and not queue.waiting and not is_inconclusive
-        if case is None or is_idle:
+        if verdict == "clear" or is_idle:
             self._queues.pop(fingerprint, None)
 
     def _answer_waiting(self, queue: _Queue, is_allowed: bool, crashes: int) -> None:
--- a/packages/entry/tests/crashes_tests.py
+++ b/packages/entry/tests/crashes_tests.py
@@ -51,7 +51,7 @@
         return self.is_refusing
 
     async def investigate(self, view, is_reset=True, fingerprint="f"):
-        crash = RunnerCrash("r", fingerprint, view, 0)
+        crash = RunnerCrash("r", fingerprint, view, {})
         return await self.detector.investigate(crash, is_reset)
 
     async def test_reset_and_refused_probe_is_a_crash(self):
@@ -90,7 +90,7 @@
 
     async def test_abandoned_request_is_probed_after_a_delay(self):
         self.enterContext(mock.patch.object(crashes, "ABANDONED_CHECK_DELAY_S", 0.0))
-        crash = RunnerCrash("r", "f", make_view(), 1)
+        crash = RunnerCrash("r", "f", make_view(), {"f": 1})
         self.is_refusing = False
         self.assertTrue(await self.detector.investigate_abandoned(crash))
         self.assertEqual(self.crashed, [])
@@ -103,7 +103,7 @@
         self.is_unreachable = True
         view = make_view()
         self.assertFalse(await self.investigate(view))
-        crash = RunnerCrash("r", "g", view, 1)
+        crash = RunnerCrash("r", "g", view, {"g": 1})
         self.assertFalse(await self.detector.investigate_abandoned(crash))
         self.detector.record_restart(view)
         self.assertEqual(len(self.crashed), 2)
