Let no sound part be condemned for crashes that others cause

With parts as suspects, callers of sound requests could be refused for minutes.

A count holds only if the request was sent after the case was opened. Each crash that a refused part explains is discounted from all others, which keep its incarnation. A part is not refused while one that is answered less often was in the same crashes. The first event of a stream shows that runners can answer its parts; only whole answers clear.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -45,6 +45,7 @@
 class AnswerRelay:
     """Relays the answer to one request, which may come from several runners in turn.
 
+    `on_start` is called with the first event of each runner.
     `response` is the response to the caller, None before its head is sent; `sequence`
     tracks the events that have been relayed.
     """
@@ -56,6 +57,7 @@
         "_is_closing",
         "_metrics",
         "_monotonic",
+        "_on_start",
         "_preamble",
         "_scheduler",
         "response",
@@ -71,8 +73,10 @@
         ctx: RequestContext,
         last_event: str,
         is_closing: Callable[[], bool],
+        on_start: Callable[[], None],
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._on_start = on_start
         self._scheduler = scheduler
         self._header_codec = header_codec
         self._metrics = metrics
@@ -202,6 +206,7 @@
         if not self._ctx.is_started:
             self._scheduler.mark_started(self._ctx)
             self._record_first_event(view)
+            self._on_start()
         if self.response is None:
             headers = self._header_codec.make_caller_headers(answer.headers)
             resp = web.StreamResponse(status=answer.status, headers=headers)
--- a/packages/entry/src/marigold/entry/relay/crashes.py
+++ b/packages/entry/src/marigold/entry/relay/crashes.py
@@ -62,11 +62,19 @@
 
     `fingerprint` identifies the request, and the keys of `parts` the parts of its
     prompt, whose ids are the values. `prior_crashes` holds, by key, the number of
-    runners that had crashed on it, one after another, when it was sent. `version` is
-    that of the weights, 0 if it is not known.
+    runners that had crashed on it, one after another, when it was sent, at `sent_at`.
+    `version` is that of the weights, 0 if it is not known.
     """
 
-    __slots__ = ("fingerprint", "parts", "prior_crashes", "request", "version", "view")
+    __slots__ = (
+        "fingerprint",
+        "parts",
+        "prior_crashes",
+        "request",
+        "sent_at",
+        "version",
+        "view",
+    )
 
     def __init__(
         self,
@@ -76,8 +84,10 @@
         prior_crashes: Mapping[str, int],
         parts: Mapping[str, str] = MappingProxyType({}),
         version: int = 0,
+        sent_at: float = 0.0,
     ) -> None:
         self.request = request
+        self.sent_at = sent_at
         self.fingerprint = fingerprint
         self.view = view
         self.prior_crashes = prior_crashes
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -92,6 +92,7 @@
             ctx,
             head.last_event,
             is_closing,
+            lambda: server.suspects.record_start(ctx.id, req),
             server.monotonic,
         )
         self.may_have_run = False
@@ -238,6 +239,7 @@
             trial.prior_crashes,
             self._req.get_part_keys(),
             self._ctx.sent_version,
+            self._ctx.sent_at,
         )
 
     async def _require_retry(self, exc: RunnerError) -> None:
--- a/packages/entry/src/marigold/entry/suspicion/admission.py
+++ b/packages/entry/src/marigold/entry/suspicion/admission.py
@@ -231,7 +231,12 @@
         """Record that a runner crashed during a request."""
         now = self._monotonic()
         changed = self._table.record_crashes(
-            crash.keys, crash.incarnation, crash.prior_crashes, crash.version, now
+            crash.keys,
+            crash.incarnation,
+            crash.prior_crashes,
+            crash.version,
+            crash.sent_at,
+            now,
         )
         for key in changed:
             case = self._table.find(key, now)
@@ -246,6 +251,14 @@
             )
             self._batcher.add(key)
 
+    def record_start(self, request: str, req: CallerRequest) -> None:
+        """Record that a runner began to respond to a request."""
+        now = self._monotonic()
+        for key, part in req.get_part_keys().items():
+            if self._table.record_start(key, now):
+                log.event("part_proven", request=request, fingerprint=key, part=part)
+                self._batcher.add(key)
+
     def record_answer(
         self, request: str, req: CallerRequest, version: int, sent_at: float
     ) -> None:
@@ -280,7 +293,7 @@
             self._table.merge(case, now)
             known = self._table.find(case.fingerprint, now)
             if known is not None and known.is_proven and not case.proven:
-                # Other processes did not see that runners have answered this part.
+                # Other processes do not know that runners began to answer this part.
                 self._batcher.add(case.fingerprint)
         for fingerprint in update.cleared:
             self._table.clear(fingerprint)
--- a/packages/entry/src/marigold/entry/suspicion/parts.py
+++ b/packages/entry/src/marigold/entry/suspicion/parts.py
@@ -1,4 +1,4 @@
-"""Shared parts of prompts, and which of them runners are known to answer."""
+"""Shared parts of prompts, and which of them runners have begun to answer."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 PART_PREFIX = "part-"
 # Limit on the remembered parts; those that were answered longest ago are forgotten.
 PROVEN_MAXIMUM = 4096
-# Seconds for which a complete response shows that runners can answer a part.
+# Seconds for which a response shows that runners can begin to answer a part.
 PROOF_LIFETIME_S = 300.0
 
 
@@ -27,19 +27,24 @@
 
 
 class ProvenParts:
-    """Parts of prompts that were in a request with a complete response."""
+    """Parts of prompts that were in a request which a runner began to answer."""
 
     def __init__(self) -> None:
-        self._answered_at: OrderedDict[str, float] = OrderedDict()
+        # Time of the last response, and number of responses.
+        self._responses: OrderedDict[str, tuple[float, int]] = OrderedDict()
 
     def add(self, key: str, now: float) -> None:
-        """Record a complete response to a request with a part."""
-        self._answered_at[key] = now
-        self._answered_at.move_to_end(key)
-        if len(self._answered_at) > PROVEN_MAXIMUM:
-            self._answered_at.popitem(last=False)
+        """Record that a runner began, or completed, a response to a part."""
+        self._responses[key] = (now, self.count(key) + 1)
+        self._responses.move_to_end(key)
+        if len(self._responses) > PROVEN_MAXIMUM:
+            self._responses.popitem(last=False)
+
+    def count(self, key: str) -> int:
+        """Return a measure of how often runners respond to a part."""
+        return self._responses.get(key, (0.0, 0))[1]
 
     def is_proven(self, key: str, now: float) -> bool:
-        """Return whether runners have answered a part lately."""
-        answered_at = self._answered_at.get(key)
-        return answered_at is not None and now - answered_at < PROOF_LIFETIME_S
+        """Return whether runners have begun to answer a part lately."""
+        known = self._responses.get(key)
+        return known is not None and now - known[0] < PROOF_LIFETIME_S
--- a/packages/entry/src/marigold/entry/suspicion/suspects.py
+++ b/packages/entry/src/marigold/entry/suspicion/suspects.py
@@ -10,9 +10,9 @@
 at any entry clears all keys of its request.
 
 Several keys are in every crash of a deadly part: those of the parts that stand beside
-it, and of requests on the same runner. Parts that runners have answered are tolerated
-longer. Once a part is refused, it explains its crashes, which then count against no
-other key.
+it, and of requests on the same runner. Parts that runners have begun to answer are
+tolerated longer. Once a part is refused, it explains its crashes, which then count
+against no other key.
 
 Policies do no I/O. Times are seconds of a monotonic clock.
 """
@@ -30,8 +30,8 @@
 # Successive crashes after which a request is refused; the platform's documentation
 # allows three more attempts.
 CRASHES_MAXIMUM = 3
-# Further crashes that are tolerated of a part that runners have answered. Popular parts
-# are beside many crashes that others cause, which are refused before.
+# Further crashes that are tolerated of a part that runners have begun to answer.
+# Popular parts are beside many crashes that others cause, which are refused before.
 PROVEN_ALLOWANCE = 2
 # Seconds for which a request is suspected after a crash, and refused after the last
 # tolerated one. Each further crash doubles the time of refusal, up to the maximum.
@@ -51,10 +51,9 @@
 
     `crashes` counts successive crashes, and `runners` names the incarnations that
     crashed. `version` is the newest version of their weights, 0 if it is not known.
-    `is_proven` is set if a runner has answered a request with the part, before the
-    first crash or soon after. The key may be tried again from `refused_until` on, and
-    the case is dropped at `expires_at`. This process learned of the first crash at
-    `opened_at`.
+    `is_proven` is set if a runner has begun to answer a request with the part. The key
+    may be tried again from `refused_until` on, and the case is dropped at `expires_at`.
+    This process learned of the first crash at `opened_at`.
     """
 
     __slots__ = (
@@ -96,15 +95,6 @@
         self.runners = (self.runners + new)[:RUNNERS_MAXIMUM]
         return bool(new)
 
-    def explains(self, runners: Sequence[str], is_refused: bool) -> bool:
-        """Return whether the crashes of this key explain those of another one.
-
-        If that one `is_refused`, they must be more.
-        """
-        if not set(runners) <= set(self.runners):
-            return False
-        return not is_refused or len(runners) < len(self.runners)
-
     def add_crash(self, crashes: int, now: float) -> bool:
         """Raise the number of crashes; return whether it was lower."""
         if crashes <= self.crashes:
@@ -199,10 +189,8 @@
         self, fingerprint: str, runner: str, prior_crashes: int, now: float
     ) -> bool:
         """Record a crash during a request with one key; return whether it is new."""
-        changed = self.record_crashes(
-            [fingerprint], runner, {fingerprint: prior_crashes}, 0, now
-        )
-        return bool(changed)
+        priors = {fingerprint: prior_crashes}
+        return bool(self.record_crashes([fingerprint], runner, priors, 0, now, now))
 
     def record_crashes(
         self,
@@ -210,6 +198,7 @@
         runner: str,
         prior_crashes: Mapping[str, int],
         version: int,
+        sent_at: float,
         now: float,
     ) -> list[str]:
         """Record a crash during a request; return the keys for which it is new.
@@ -221,14 +210,18 @@
         changed = []
         counts: dict[str, int] = {}
         for key in keys:
-            if self._is_explained(key, [runner], False, now):
+            if not self._get_unexplained(key, [runner], now):
+                if (case := self.find(key, now)) is not None:
+                    case.add_runners([runner])
                 continue
             case = self._get_or_create(key, now)
             case.version = max(case.version, version)
             if case.add_runners([runner]):
                 changed.append(key)
-            counts[key] = prior_crashes.get(key, 0) + 1
-        culprit = self._find_culprit(counts)
+            # The case may have been cleared and opened again since then.
+            is_known = sent_at >= case.opened_at
+            counts[key] = (prior_crashes.get(key, 0) if is_known else 0) + 1
+        culprit = self._find_culprit(counts, runner)
         for key, crashes in counts.items():
             case = self._cases[key]
             if is_part_key(key) and key != culprit:
@@ -241,7 +234,7 @@
             self._explain_others(culprit, now)
         return changed
 
-    def _find_culprit(self, counts: Mapping[str, int]) -> str | None:
+    def _find_culprit(self, counts: Mapping[str, int], runner: str) -> str | None:
         """Return the part that is to be refused, if any.
 
         The last one is chosen among equals, as fewer requests share it. If only one
@@ -250,7 +243,9 @@
         culprit, most = None, CRASHES_MAXIMUM - 1
         for key, crashes in counts.items():
             counted = crashes - self._cases[key].allowance
-            if is_part_key(key) and counted > most:
+            if not is_part_key(key) or self._has_rarer_suspect(key, runner):
+                continue
+            if counted > most:
                 culprit, most = key, counted
         if culprit is None:
             return None
@@ -262,55 +257,104 @@
                 return None
         return culprit
 
-    def _is_explained(
-        self, key: str, runners: Sequence[str], is_refused: bool, now: float
-    ) -> bool:
-        """Return whether another part is refused for all of a key's crashes."""
+    def _has_rarer_suspect(self, part: str, runner: str) -> bool:
+        """Return whether a part that is answered less often was in the same crashes.
+
+        The last one, of `runner`, may not be known yet.
+        """
+        runners = set(self._cases[part].runners) - {runner}
+        responses = self._proofs.count(part)
+        return any(
+            is_part_key(key)
+            and case.crashes > 0
+            and runners <= set(case.runners)
+            and self._proofs.count(key) < responses
+            for key, case in self._cases.items()
+        )
+
+    def _get_refused_parts(self, now: float) -> dict[str, Case]:
+        found = {}
         for name in list(self._refused_parts):
             case = self.find(name, now)
             if case is None or not case.is_refused(now):
                 del self._refused_parts[name]
-            elif name != key and case.explains(runners, is_refused):
-                return True
-        return False
+            else:
+                found[name] = case
+        return found
+
+    def _get_unexplained(
+        self, key: str, runners: Sequence[str], now: float
+    ) -> Sequence[str]:
+        """Return the incarnations under which no other part is refused.
+
+        If this key is refused as well, another one has to explain all of its crashes,
+        and more.
+        """
+        if not self._refused_parts:
+            return runners
+        parts = self._get_refused_parts(now)
+        explained = [set(case.runners) for name, case in parts.items() if name != key]
+        if key in parts:
+            explained = [others for others in explained if others > set(runners)]
+        return [item for item in runners if not any(item in x for x in explained)]
 
     def _explain_others(self, part: str, now: float) -> None:
-        """Drop the cases that a refused part explains."""
+        """Discount the crashes that a refused part explains from all other cases.
+
+        Parts keep their incarnations: if one of them goes on crashing runners until it
+        is refused, it explains the crashes of this one.
+        """
         self._refused_parts[part] = None
-        culprit = self._cases[part]
         for key, case in list(self._cases.items()):
-            if key != part and culprit.explains(case.runners, case.is_refused(now)):
+            if key == part or not case.runners:
+                continue
+            count = len(self._get_unexplained(key, case.runners, now))
+            if not count and not is_part_key(key):
                 self.clear(key)
+            elif count < case.crashes:
+                case.crashes = count
+                self._notify(key)
 
-    def record_answer(self, key: str, version: int, sent_at: float, now: float) -> bool:
-        """Record a complete response with a part; return whether its case changed.
+    def record_start(self, key: str, now: float) -> bool:
+        """Record that a runner began to respond; return whether a case changed.
 
-        A part may have begun to crash runners after that request was sent, or only
-        those with newer weights, so that other responses do not clear it.
+        Most parts that crash runners do so before that.
         """
         self._proofs.add(key, now)
         case = self.find(key, now)
-        if case is None:
-            return False
-        if sent_at >= case.opened_at and version >= case.version:
-            return self.clear(key)
-        if case.is_proven:
+        if case is None or case.is_proven:
             return False
         case.is_proven = True
         self._notify(key)
         return True
 
+    def record_answer(self, key: str, version: int, sent_at: float, now: float) -> bool:
+        """Record a complete response with a part; return whether its case changed.
+
+        A part may have begun to crash runners after that request was sent, or only
+        those with newer weights, so that other responses do not clear it.
+        """
+        case = self.find(key, now)
+        if case and sent_at >= case.opened_at and version >= case.version:
+            self._proofs.add(key, now)
+            return self.clear(key)
+        return self.record_start(key, now)
+
     def merge(self, other: SuspectCase, now: float) -> bool:
         """Merge another process's case; return whether it added anything."""
         key = other.fingerprint
-        if self._is_explained(key, other.runners, other.refused > 0, now):
-            return False
+        ends = other.ends
+        if other.runners and self._refused_parts:
+            unexplained = self._get_unexplained(key, other.runners, now)
+            if not unexplained and not is_part_key(key):
+                return False
+            ends = min(ends, len(unexplained))
         case = self._get_or_create(key, now)
-        is_new = case.add_runners(other.runners) or other.ends > case.crashes
+        is_new = case.add_runners(other.runners) or ends > case.crashes
         if other.proven and not case.is_proven:
             is_new = case.is_proven = True
         case.version = max(case.version, other.version)
-        case.crashes = max(case.crashes, other.ends)
+        case.crashes = max(case.crashes, ends)
         case.refused_until = max(case.refused_until, now + other.refused)
         case.expires_at = max(case.expires_at, now + other.left)
         if is_new:
