--- a/packages/entry/src/marigold/entry/suspicion/suspects.py
+++ b/packages/entry/src/marigold/entry/suspicion/suspects.py
@@ -243,9 +243,9 @@
         culprit, most = None, CRASHES_MAXIMUM - 1
         for key, crashes in counts.items():
             counted = crashes - self._cases[key].allowance
-            if not is_part_key(key) or self._has_rarer_suspect(key, runner):
+            if not is_part_key(key) or counted <= most:
                 continue
-            if counted > most:
+            if not self._has_rarer_suspect(key, runner):
                 culprit, most = key, counted
         if culprit is None:
             return None
