--- a/packages/entry/tests/suspicion_fleet_tests.py
+++ b/packages/entry/tests/suspicion_fleet_tests.py
@@ -27,21 +27,21 @@
 
     def check(self, deadly_parts, **options):
         for seed in SEEDS:
-            with self.subTest(seed=seed):
-                fleet = SimulatedFleet(seed, deadly_parts, **options)
-                fleet.run()
-                for part in deadly_parts:
-                    self.assertGreaterEqual(len(fleet.crashes[part]), 3)
-                    late = fleet.count_late_sends(part)
-                    self.assertLessEqual(late, LATE_SENDS_MAXIMUM, part)
-                self.check_harmless(fleet)
-
-    def check_harmless(self, fleet):
+            name = f"seed {seed}"
+            fleet = SimulatedFleet(seed, deadly_parts, **options)
+            fleet.run()
+            for part in deadly_parts:
+                self.assertGreaterEqual(len(fleet.crashes[part]), 3, name)
+                late = fleet.count_late_sends(part)
+                self.assertLessEqual(late, LATE_SENDS_MAXIMUM, name)
+            self.check_harmless(fleet, name)
+
+    def check_harmless(self, fleet, name):
         start = max(fleet.crash_times) + 2 * STABILITY_S
-        self.assertLess(start, DURATION_S - 1)
+        self.assertLess(start, DURATION_S - 1, name)
         share = fleet.get_served_share(start, DURATION_S)
-        self.assertGreaterEqual(share, SERVED_MINIMUM)
-        self.assertEqual(fleet.get_refusals(HARMLESS_PARTS, start), [])
+        self.assertGreaterEqual(share, SERVED_MINIMUM, name)
+        self.assertEqual(fleet.get_refusals(HARMLESS_PARTS, start), [], name)
 
     def test_deadly_part(self):
         self.check({"x": 0.05})
