--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -93,6 +93,7 @@
             ctx,
             head.last_event,
             is_closing,
+            lambda: server.suspects.record_start(ctx.id, req),
             server.monotonic,
         )
         self.may_have_run = False
@@ -120,9 +121,7 @@
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
         try:
-            return await self._server.suspects.admit(
-                self._ctx.id, self._req.get_fingerprint
-            )
+            return await self._server.suspects.admit(self._ctx.id, self._req)
         except TrialRefusedError as exc:
             raise self._make_error(str(exc), exc.retry_after, QuarantinedError) from exc
 
@@ -191,6 +190,8 @@
             "attempt_failed",
             request=self._ctx.id,
             fingerprint=self._req.get_fingerprint(),
+            parts=",".join(self._req.prompt_parts),
+            is_started=self._ctx.is_started,
             runner=view.id,
             reason=exc,
             kind=type(exc).__name__,
@@ -232,8 +233,15 @@
         return await self._server.crashes.investigate(crash, is_reset)
 
     def _make_crash(self, view: RunnerView, trial: Trial) -> RunnerCrash:
-        fingerprint = self._req.get_fingerprint()
-        return RunnerCrash(self._ctx.id, fingerprint, view, trial.prior_crashes)
+        return RunnerCrash(
+            self._ctx.id,
+            self._req.get_fingerprint(),
+            view,
+            trial.prior_crashes,
+            self._req.get_part_keys(),
+            self._ctx.sent_version,
+            self._ctx.sent_at,
+        )
 
     async def _require_retry(self, exc: RunnerError) -> None:
         """Return if another runner may be tried; else raise `RelayError`."""
@@ -265,7 +273,7 @@
         if remaining < MINIMUM_REMAINING_S:
             raise TimeoutError
         self._require_key()
-        if not server.suspects.is_still_allowed(self._req.get_fingerprint, trial):
+        if not server.suspects.is_still_allowed(self._req, trial):
             raise SuspectedMeanwhileError(
                 f"{view.id}: requests like this one are suspected"
             )
@@ -275,6 +283,7 @@
         runner_head = self._make_runner_head(view, now, remaining)
         ctx.is_started = False
         ctx.sent_at = now
+        ctx.sent_version = view.get_version(ctx.model) or 0
         ctx.sends += 1
         version = view.get_version(ctx.model) if ctx.model else None
         watchdog = AttemptWatchdog(
@@ -314,7 +323,9 @@
             answer.abort()
             raise
         if resp.status < STATUS_FAILURE:
-            server.suspects.record_answer(ctx.id, self._req.get_fingerprint)
+            server.suspects.record_answer(
+                ctx.id, self._req, ctx.sent_version, ctx.sent_at
+            )
         return resp
 
     def _make_runner_head(
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -108,6 +108,8 @@
             body,
             http.host,
             ctx.organisation,
+            head.prompt_parts,
+            head.model,
         )
         resp = await self._server.serve(http, head, ctx, req, lambda: self.is_stopping)
         seconds = time.monotonic() - arrived_at
@@ -120,6 +122,7 @@
             configuration=catalogue.version,
             seconds=seconds,
             sends=ctx.sends,
+            parts=",".join(head.prompt_parts),
         )
         return resp
 
