Believe a refusal only of the request that it answers

What callers saw: "503, not run" for requests that a runner had run or was running, and, where a route allows a second attempt, such a request at a second runner (REFUSED, TWICE).

Cause: a failure without an `Attempt-Id` counted as the answer to any request, so that a late copy of an earlier refusal did as well. Besides, a request that was refused could go back to the same runner on the same connection; the copy then bears its own id. What arrived on an idle connection was kept and read as the head of the next answer.

Mend: an answer without an id counts only on a connection that has had no earlier request. A request goes back to a runner on another connection than the one on which it was refused. Idle connections on which anything has arrived, or that the peer closed, are not used again; that holds for the calls of companions and of the store, too. A status below 200 is no answer.

Evidence: scripted runners that repeat refusals, for one request at a time, with 30 callers at once, and with three entries beside a hub. Held before: copies with the id of their request, at once or with the next request, and answers to HEAD and streams.

A copy that comes after the next request was sent and bears its id cannot be told from its answer.

--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import select
 import socket
+from functools import partial
 from typing import Any
 
 from aiohttp import ClientError, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 # Time after which a connection with unacknowledged data is closed. Callers wait about
 # two seconds, in which a second attempt has to fit.
@@ -31,9 +35,45 @@
     return sock
 
 
+class ReusableProtocol(ResponseHandler):
+    """Protocol of a connection; `is_reused` is set from its second request on."""
+
+    is_reused = False
+
+
+class CheckedConnector(TCPConnector):
+    """Connector that uses no idle connection on which something has arrived.
+
+    Such bytes belong to no request, so they must not be read as the next answer.
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(ReusableProtocol, loop=self._loop)
+
+    async def _get(self, key: Any, traces: Any) -> Connection | None:
+        while (conn := await super()._get(key, traces)) is not None:
+            protocol = conn.protocol
+            if not protocol.should_close and not _is_readable(protocol):
+                protocol.is_reused = True
+                return conn
+            conn.close()
+        return None
+
+
+def _is_readable(protocol: ResponseHandler) -> bool:
+    """Return whether the peer has sent data or closed the connection.
+
+    The event loop may not have seen it yet.
+    """
+    poll = select.poll()
+    poll.register(protocol.transport.get_extra_info("socket"), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def make_connector(keepalive: float) -> TCPConnector:
     """Return a connector that keeps idle connections for `keepalive` seconds."""
-    return TCPConnector(
+    return CheckedConnector(
         limit=0,
         ttl_dns_cache=None,
         keepalive_timeout=keepalive,
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -14,11 +14,10 @@
     ClientTimeout,
     ConnectionTimeoutError,
 )
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
 
-from marigold.core.connections import CALL_ERRORS, make_connector
+from marigold.core.connections import CALL_ERRORS, ReusableProtocol, make_connector
 from marigold.core.fingerprints import compute_fingerprint
 from marigold.core.platform.adapter import HeaderCodec, ResponseHead, RunnerRequestHead
 from marigold.entry.relay.exceptions import (
@@ -38,6 +37,7 @@
 SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 STATUS_MISDIRECTED = 421
 STATUS_FAILURE = 400
+STATUS_SUCCESS = 200
 READ_BYTES = 65536
 
 
@@ -86,7 +86,7 @@
     the body has ended, which may be before the body is read.
     """
 
-    protocol: ResponseHandler
+    protocol: ReusableProtocol
 
     async def start(self, connection: Connection) -> RunnerResponse:
         """Start reading the answer."""
@@ -191,6 +191,10 @@
 
         Raise `NotSentError`, `NotRunError` or `BrokenAnswerError`.
         """
+        # A copy of the refusal that comes late would have the same id as the answer.
+        refused_on = ctx.refused_on.pop(view.id, None)
+        if refused_on is not None:
+            refused_on.force_close()
         headers = self._header_codec.make_runner_headers(req.headers, runner_head)
         url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
         try:
@@ -212,7 +216,7 @@
         head = self._header_codec.parse_response_head(resp.status, resp.headers)
         if head.is_leaving:
             self._on_leaving(view)
-        if not _is_answer_to(ctx, resp.status, head):
+        if not _is_answer_to(ctx, resp, head):
             resp.close()
             other = head.attempt or "no request"
             raise BrokenAnswerError(f"{view.id}: an answer to {other}")
@@ -220,6 +224,7 @@
             if head.version is not None:
                 # It may hold newer weights than the runner list says.
                 view.version_seen = head.version
+            ctx.refused_on[view.id] = resp.protocol
             resp.release()
             raise NotRunError(
                 f"{view.id}: status {resp.status}",
@@ -230,12 +235,18 @@
         return RunnerAnswer(resp, head)
 
 
-def _is_answer_to(ctx: RequestContext, status: int, head: ResponseHead) -> bool:
+def _is_answer_to(
+    ctx: RequestContext, resp: RunnerResponse, head: ResponseHead
+) -> bool:
     """Return whether an answer belongs to a request, not to an earlier one.
 
-    A failure may come without the id of its request, as it cannot be mistaken for a
-    success.
+    An answer without an id only does if its connection has had no earlier request. A
+    success must have the id.
     """
-    if not ctx.id or head.attempt == ctx.id:
-        return True
-    return not head.attempt and status >= STATUS_FAILURE
+    if resp.status < STATUS_SUCCESS:
+        return False
+    if head.attempt:
+        return head.attempt == ctx.id
+    if resp.protocol.is_reused:
+        return False
+    return not ctx.id or resp.status >= STATUS_FAILURE
--- a/packages/entry/src/marigold/entry/relay/requests.py
+++ b/packages/entry/src/marigold/entry/relay/requests.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TYPE_CHECKING
 
 from marigold.core.schema.generated.deployment import Route
 
+if TYPE_CHECKING:
+    from marigold.core.connections import ReusableProtocol
+
 # Seconds after which callers of streams leave when no event comes: the longest of a
 # constant, a multiple of the latency target and one of the maximum gap, as the
 # platform documents for its callers.
@@ -87,10 +91,17 @@
 
     `timeout` is the seconds that the caller allows, None if it states none. The whole
     answer is due at `deadline`, a time. `sends` counts the attempts that were sent to a
-    runner.
+    runner. `refused_on` holds, by runner, the connection on which it was last refused.
     """
 
-    __slots__ = ("deadline", "organisation", "route", "sends", "sent_at")
+    __slots__ = (
+        "deadline",
+        "organisation",
+        "refused_on",
+        "route",
+        "sends",
+        "sent_at",
+    )
 
     def __init__(
         self,
@@ -124,6 +135,7 @@
         self.route = route
         self.deadline = arrived_at + limit
         self.organisation = organisation
+        self.refused_on: dict[str, ReusableProtocol] = {}
         self.sends = 0
         self.sent_at = 0.0
 
