Call model engines over new connections

What callers could see: an attempt that an engine ran was reported as refused, so that it ran at a second target, or got the answer of another caller.

Cause: the gate kept connections to engines, and an answer of an engine names no call. A late copy of an earlier 409 on a kept connection passed for the refusal of the next attempt. Plain services already got a connection for each call.

Mend: each call of an engine uses a new connection, too; this covers load reports, chunks and weight orders, which share the client.

Evidence: an engine that sends its last answer once more before each new one. The cost of the path was not measured again.

--- a/packages/target/src/marigold/target/gate/drivers.py
+++ b/packages/target/src/marigold/target/gate/drivers.py
@@ -69,16 +69,17 @@
         raise BackEndError(f"{req.url}: {exc!r}") from exc
 
 
-def make_session(cfg: EngineSettings) -> ClientSession:
-    """Return the HTTP client for a kind of back end.
-
-    Each call of a plain service uses a new connection. The service could close a
-    reused one while a call is sent, and then it is unknown whether the call was
-    executed. Bodies are not decompressed and no default headers are added, so that
-    the back end is offered only what the caller accepts.
+def make_session() -> ClientSession:
+    """Return the HTTP client for a back end.
+
+    Each call uses a new connection. A service could close a reused one while a call is
+    sent, and then it is unknown whether the call was executed. An answer names no call,
+    so on a reused connection a late copy of an earlier one would be taken for it.
+    Bodies are not decompressed and no default headers are added, so that the back end
+    is offered only what the caller accepts.
     """
     return ClientSession(
-        connector=TCPConnector(limit=0, force_close=cfg.kind == "service"),
+        connector=TCPConnector(limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
         timeout=ClientTimeout(total=None),
--- a/packages/target/src/marigold/target/process.py
+++ b/packages/target/src/marigold/target/process.py
@@ -72,7 +72,7 @@
             cfg.link_secret,
             self._make_heartbeat,
         )
-        async with make_session(cfg.engine) as session:
+        async with make_session() as session:
             driver = make_driver(session, cfg.engine)
             self._gate = Gate(cfg, self._identity.incarnation, driver)
             orders = self._make_orders(session, ctx, driver, self._gate)
--- a/packages/target/tests/drivers_tests.py
+++ b/packages/target/tests/drivers_tests.py
@@ -11,11 +11,17 @@
     AnswerHead,
     RefuseAttempt,
 )
-from marigold.target.gate.drivers import BackEndError, make_driver, make_session
+from marigold.target.gate.drivers import (
+    BackEndError,
+    VersionNotLoadedError,
+    make_driver,
+    make_session,
+)
 
 PIECE_BYTES = 7
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: %s\r\n"
 TEXT = HEAD % b"text/plain"
+REFUSAL = b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
 EVENTS = HEAD % b"text/event-stream" + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -73,7 +79,7 @@
         cfg = make_settings(self.kind)
         cfg.engine.url = f"http://127.0.0.1:{port}"
         link = FakeLink()
-        async with make_session(cfg.engine) as session:
+        async with make_session() as session:
             gate = make_gate(make_driver(session, cfg.engine), cfg)
             gate.versions = ["1"]
             serving = asyncio.create_task(gate.serve(link))
@@ -161,6 +167,49 @@
         self.assertEqual(outcome, "done")
 
 
+class RepeatingBackEnd(RawBackEnd):
+    """A back end that keeps connections and sends its last answer before each new one.
+
+    The first call of all is refused.
+    """
+
+    async def _serve(self, reader, writer):
+        previous = b""
+        try:
+            while True:
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                answer = self.answer if self.requests[1:] else REFUSAL
+                writer.write(previous + answer)
+                previous = answer
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+
+class RepeatedRefusalTests(unittest.IsolatedAsyncioTestCase):
+    async def test_repeated_refusal_is_not_taken_for_the_next_answer(self):
+        for kind in ("service", "model"):
+            with self.subTest(kind):
+                back_end = RepeatingBackEnd(TEXT + b"Content-Length: 2\r\n\r\nok")
+                port = await back_end.start()
+                self.addAsyncCleanup(back_end.stop)
+                cfg = make_settings(kind)
+                cfg.engine.url = f"http://127.0.0.1:{port}"
+                async with make_session() as session:
+                    driver = make_driver(session, cfg.engine)
+                    statuses = [await self.call(driver, n) for n in range(3)]
+                self.assertEqual(statuses[1:], [200, 200])
+
+    async def call(self, driver, number):
+        try:
+            async with driver.run(make_start(f"r{number}.1")) as resp:
+                await resp.read()
+                return resp.status
+        except VersionNotLoadedError:
+            return 409
+
+
 class LossTests(DriverTestCase):
     async def test_exiting_back_end_is_lost(self):
         back_end = ExitingBackEnd(b"")
@@ -205,7 +254,7 @@
         self.addAsyncCleanup(back_end.stop)
         cfg = make_settings("service")
         cfg.engine.url = f"http://127.0.0.1:{port}"
-        async with make_session(cfg.engine) as session:
+        async with make_session() as session:
             driver = make_driver(session, cfg.engine)
             async with driver.run(make_start("r1.1")) as resp:
                 await asyncio.sleep(0.05)
