Relay the events that precede a wrong one

What callers saw: a stream without one of its events that ended as complete (ORDER).

Cause: when a segment held good events and then one that skips a number, all of them were dropped, but the good ones had already counted as relayed. The next runner was asked to go on after them.

Mend: the good events of the segment are relayed before the attempt is given up.

Evidence: a runner that sends events 1, 2 and 4 in one segment, and another that goes on. Before, the caller got 3, 4 and 5 only, with status 200 and a complete end (`Tuples differ: (200, id: 3 ...) != (200, id: 1 ...)`).

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -14,6 +14,7 @@
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.relay.streams import (
+    Event,
     EventSequence,
     EventSplitter,
     StreamOrderError,
@@ -180,14 +181,27 @@
         data: bytes,
         watchdog: AttemptWatchdog,
     ) -> None:
+        events = []
+        failure = None
         try:
-            events = splitter.feed(data)
-            for event in events:
+            for event in splitter.feed(data):
                 self.sequence.check(event)
+                events.append(event)
         except StreamOrderError as exc:
-            raise BrokenAnswerError(f"{view.id}: {exc}") from exc
-        if not events:
-            return
+            failure = exc
+        if events:
+            # They count as relayed, so that a resumed stream goes on after them.
+            await self._relay_events(view, answer, events, watchdog)
+        if failure is not None:
+            raise BrokenAnswerError(f"{view.id}: {failure}") from failure
+
+    async def _relay_events(
+        self,
+        view: RunnerView,
+        answer: RunnerAnswer,
+        events: list[Event],
+        watchdog: AttemptWatchdog,
+    ) -> None:
         data = b"".join(event.data for event in events)
         if any(event.id is not None for event in events):
             # Comments are no progress: a stalled stream sends them as keep-alives.
