Relay nothing but events into a stream

So a runner that broke off a stream without a length by the head of an error, or answered to a resumed stream with text and status 200, had its text relayed. An answer of status 200 without any event ended a stream that had begun.

Mend: a block is relayed if its lines are fields and it has an id, or if all of its lines are comments. The type of the answer has to be that of an event stream where it is stated. A resumed stream without events counts as complete only if it states its type and has a length or chunks, since a stream may also break off after its last event.

What remains: text after half a data line, in a stream without length or chunks, that looks like its rest; a stream with chunks that its runner ends properly too early.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -26,6 +26,7 @@
 # stream may send before its first event. Usual answers have some thousand bytes.
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 MAXIMUM_PREAMBLE_BYTES = 64 * 1024
+EVENT_STREAM_TYPE = "text/event-stream"
 # Statuses that tell callers that a request has not run, which only the runner knows.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -158,7 +159,11 @@
     ) -> web.StreamResponse:
         if not answer.head.is_signed:
             raise BrokenAnswerError(f"{view.id}: a stream without a signature")
+        content_type = answer.headers.get("Content-Type", "")
+        if content_type and not content_type.startswith(EVENT_STREAM_TYPE):
+            raise BrokenAnswerError(f"{view.id}: {content_type} is no event stream")
         splitter = EventSplitter()
+        before = self.sequence.last
         while True:
             data = await watchdog.guard_read(answer.read)
             if not data:
@@ -168,6 +173,9 @@
             raise BrokenAnswerError(f"{view.id}: ended within an event")
         if self.response is None:
             raise BrokenAnswerError(f"{view.id}: a stream without events")
+        if self.sequence.last == before and not (content_type and answer.is_framed):
+            # A resumed stream may be empty, but then it has to state that it is whole.
+            raise BrokenAnswerError(f"{view.id}: no event on resuming")
         answer.finish()
         view.health.record_success(self._monotonic())
         await self.response.write_eof()
--- a/packages/entry/src/marigold/entry/relay/streams.py
+++ b/packages/entry/src/marigold/entry/relay/streams.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import re
+
 from marigold.core.exceptions import MarigoldError
 
 # Maximum size of one event.
 MAXIMUM_EVENT_BYTES = 1 << 20
+# Fields of a comment have an empty name.
+COMMENT = re.compile(rb":.*")
+FIELD = re.compile(rb"(?:[a-z]+(?:-[a-z]+)*)?:.*|data")
 
 
 class StreamOrderError(MarigoldError):
-    """An event is too large or does not follow the previous one."""
+    """An event is malformed or too large, or does not follow the previous one."""
 
 
 class Event:
@@ -30,6 +35,19 @@
     return None
 
 
+def _is_event(event: Event) -> bool:
+    """Return whether a block is an event with an id or consists of comments.
+
+    Other text, such as the head of an error response, contains lines that are no
+    fields, or has no id.
+    """
+    ending = b"\r\n" if event.data.endswith(b"\r\n") else b"\n"
+    if event.data.count(b"\n") != event.data.count(ending):
+        return False
+    pattern = COMMENT if event.id is None else FIELD
+    return all(pattern.fullmatch(line) for line in event.data.splitlines() if line)
+
+
 class EventSplitter:
     """Splits bytes into complete events; a partial event is buffered.
 
@@ -76,7 +94,7 @@
 
 
 class EventSequence:
-    """Checks that the ids of events are consecutive, over several answers."""
+    """Checks that events are well-formed and consecutive, over several answers."""
 
     __slots__ = ("_last",)
 
@@ -89,7 +107,12 @@
         return self._last
 
     def check(self, event: Event) -> None:
-        """Check the next event; raise `StreamOrderError` when one is missing."""
+        """Check the next event.
+
+        Raise `StreamOrderError` when it is malformed, or when one before it is missing.
+        """
+        if not _is_event(event):
+            raise StreamOrderError(f"no event: {event.data[:40]!r}")
         if event.id is None:
             return
         if self._last is not None and event.id != self._last + 1:
