Resume a stream elsewhere without waiting for an error's body

What callers saw: a stream that had broken off stood still until its deadline, when the next runner answered with an error whose body came slowly or not at all.

Cause: the body was read before the status was looked at, though an error is of no use once the stream has begun. No event is expected of it, so the watchdog doesn't end it either.

Mend: such an answer ends the attempt with its head.

Evidence: an error of 1,000 bytes, ten a second, and a head alone. Before: "1.51 not less than 0.5" for both, the caller's whole time; now both end below the bound.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -102,6 +102,9 @@
         self._record_head(view, answer, outcome)
         if self._ctx.route.is_stream and answer.status == 200:
             return await self._relay_stream(view, answer, watchdog)
+        if self.response is not None:
+            # The stream has begun, so that the body is of no use.
+            raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
         body = await watchdog.guard(answer.read_all(MAXIMUM_ANSWER_BYTES))
         answer.finish()
         now = self._monotonic()
@@ -110,14 +113,10 @@
             view.health.record_failure(now)
             if not outcome.backoff:
                 outcome.name = "failed"
-            if self.response is not None:
-                raise BrokenAnswerError(f"{view.id}: status {answer.status}")
             if self._may_retry_failure(answer):
                 raise BrokenAnswerError(f"{view.id}: status {answer.status}")
         else:
             view.health.record_success(now)
-        if self.response is not None:
-            raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
         if not answer.head.is_signed and answer.status < 300:
             raise BrokenAnswerError(f"{view.id}: a success without a signature")
         if not answer.head.is_signed and answer.status in NOT_EXECUTED_STATUSES:
