Keep an answer without a body when its connection is reset

What callers saw: 502 for a request that a runner had answered with 204.

Cause: an answer with neither a length nor chunks ends with its connection, and one that is reset is incomplete. An answer that has no body by its status or method was held to the same rule, though it is complete with its head.

Mend: such an answer counts as framed.

Evidence: 204 and a reset before the body is read; before, "502 != 204". The other tests of answers that end with their connection are guards and held before: HTTP/1.1 and 1.0, with and without `Connection: close`, complete, reset, closed inside an event, on each kind of route, 96 at once, and calls of the store and of engines.

--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -38,6 +38,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_FAILURE = 400
 STATUS_SUCCESS = 200
+BODILESS_STATUSES = frozenset({204, 304})
 READ_BYTES = 65536
 
 
@@ -108,7 +109,12 @@
         self.status = resp.status
         self.headers = resp.headers
         coding = resp.headers.get("Transfer-Encoding", "").lower()
-        self.is_framed = "Content-Length" in resp.headers or "chunked" in coding
+        self.is_framed = (
+            "Content-Length" in resp.headers
+            or "chunked" in coding
+            or resp.method == "HEAD"
+            or resp.status in BODILESS_STATUSES
+        )
 
     async def read(self) -> bytes:
         """Return the next bytes, or empty bytes at the end.
