Read ids of events without failing

What callers saw: a bare 500 ("Server got itself in trouble") for a `Last-Event-Id` such as "²", and for a stream, which may have run, whose first event has an id of 4,400 digits.

Cause: `str.isdigit` accepts more than `int` does, and `int` raises beyond 4,300 digits; the error was no error of the relay's own.

Mend: an id has 1 to 18 decimal digits. One of a caller that has not is passed on as it came and not held against the events; an event with such an id is no event, so that the attempt is broken off.

Evidence: before, "(500, ...) != (200, ...)" and "500 != 502", and an id of 30 digits was relayed.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -18,6 +18,7 @@
     EventSequence,
     EventSplitter,
     StreamOrderError,
+    parse_event_id,
 )
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
@@ -83,8 +84,7 @@
         self._is_closing = is_closing
         self._monotonic = monotonic
         self._preamble = b""
-        last = int(last_event) if last_event.isdigit() else None
-        self.sequence = EventSequence(last)
+        self.sequence = EventSequence(parse_event_id(last_event))
         self.response: web.StreamResponse | None = None
 
     async def relay(
--- a/packages/entry/src/marigold/entry/relay/streams.py
+++ b/packages/entry/src/marigold/entry/relay/streams.py
@@ -10,6 +10,7 @@
 MAXIMUM_EVENT_BYTES = 1 << 20
 # Fields of a comment have an empty name.
 COMMENT = re.compile(rb":.*")
+EVENT_ID = re.compile(r"[0-9]{1,18}")
 FIELD = re.compile(rb"(?:[a-z]+(?:-[a-z]+)*)?:.*|data")
 
 
@@ -27,11 +28,16 @@
         self.id = id
 
 
+def parse_event_id(text: str) -> int | None:
+    """Return the id of an event, None if it is malformed or too large."""
+    return int(text) if EVENT_ID.fullmatch(text) else None
+
+
 def _read_id(data: bytes) -> int | None:
     for line in data.splitlines():
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return int(value)
+        if name == b"id":
+            return parse_event_id(value.strip().decode("latin-1"))
     return None
 
 
