--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -16,9 +16,11 @@
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.relay.streams import (
+    Event,
     EventSequence,
     EventSplitter,
     StreamOrderError,
+    parse_event_id,
 )
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
@@ -29,6 +31,7 @@
 # stream may send before its first event. Usual answers have some thousand bytes.
 MAXIMUM_ANSWER_BYTES = 8 * 1024 * 1024
 MAXIMUM_PREAMBLE_BYTES = 64 * 1024
+EVENT_STREAM_TYPE = "text/event-stream"
 # Statuses that tell callers that a request has not run, which only the runner knows.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -89,8 +92,7 @@
         self._is_closing = is_closing
         self._monotonic = monotonic
         self._preamble = b""
-        last = int(last_event) if last_event.isdigit() else None
-        self.sequence = EventSequence(last)
+        self.sequence = EventSequence(parse_event_id(last_event))
         self.response: web.StreamResponse | None = None
 
     async def relay(
@@ -108,6 +110,9 @@
         self._record_head(view, answer, outcome)
         if self._ctx.route.is_stream and answer.status == 200:
             return await self._relay_stream(view, answer, watchdog)
+        if self.response is not None:
+            # The stream has begun, so that the body is of no use.
+            raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
         body = await watchdog.guard(answer.read_all(MAXIMUM_ANSWER_BYTES))
         answer.finish()
         now = self._monotonic()
@@ -116,14 +121,10 @@
             view.health.record_failure(now)
             if not outcome.backoff:
                 outcome.name = "failed"
-            if self.response is not None:
-                raise BrokenAnswerError(f"{view.id}: status {answer.status}")
             if self._may_retry_failure(answer):
                 raise BrokenAnswerError(f"{view.id}: status {answer.status}")
         else:
             view.health.record_success(now)
-        if self.response is not None:
-            raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
         if not answer.head.is_signed and answer.status < 300:
             raise BrokenAnswerError(f"{view.id}: a success without a signature")
         if not answer.head.is_signed and answer.status in NOT_EXECUTED_STATUSES:
@@ -165,7 +166,11 @@
     ) -> web.StreamResponse:
         if not answer.head.is_signed:
             raise BrokenAnswerError(f"{view.id}: a stream without a signature")
+        content_type = answer.headers.get("Content-Type", "")
+        if content_type and not content_type.startswith(EVENT_STREAM_TYPE):
+            raise BrokenAnswerError(f"{view.id}: {content_type} is no event stream")
         splitter = EventSplitter()
+        before = self.sequence.last
         while True:
             data = await watchdog.guard_read(answer.read)
             if not data:
@@ -175,6 +180,9 @@
             raise BrokenAnswerError(f"{view.id}: ended within an event")
         if self.response is None:
             raise BrokenAnswerError(f"{view.id}: a stream without events")
+        if self.sequence.last == before and not (content_type and answer.is_framed):
+            # A resumed stream may be empty, but then it has to state that it is whole.
+            raise BrokenAnswerError(f"{view.id}: no event on resuming")
         answer.finish()
         view.health.record_success(self._monotonic())
         await self.response.write_eof()
@@ -188,14 +196,27 @@
         data: bytes,
         watchdog: AttemptWatchdog,
     ) -> None:
+        events = []
+        failure = None
         try:
-            events = splitter.feed(data)
-            for event in events:
+            for event in splitter.feed(data):
                 self.sequence.check(event)
+                events.append(event)
         except StreamOrderError as exc:
-            raise BrokenAnswerError(f"{view.id}: {exc}") from exc
-        if not events:
-            return
+            failure = exc
+        if events:
+            # They count as relayed, so that a resumed stream goes on after them.
+            await self._relay_events(view, answer, events, watchdog)
+        if failure is not None:
+            raise BrokenAnswerError(f"{view.id}: {failure}") from failure
+
+    async def _relay_events(
+        self,
+        view: RunnerView,
+        answer: RunnerAnswer,
+        events: list[Event],
+        watchdog: AttemptWatchdog,
+    ) -> None:
         data = b"".join(event.data for event in events)
         if any(event.id is not None for event in events):
             # Comments are no progress: a stalled stream sends them as keep-alives.
