--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from typing import Any
 
 from aiohttp import ClientError, TCPConnector
 
+from marigold.core.exceptions import AddressError
+
 # Time after which a connection with unacknowledged data is closed. Callers wait about
 # two seconds, in which a second attempt has to fit.
 USER_TIMEOUT_MS = 1500
@@ -14,9 +17,14 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+# Digits are ASCII ones only, as `int` accepts those of other scripts as well.
+ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([0-9]{1,5})")
+PORT_MAXIMUM = 65535
+LOGGED_CHARACTERS = 80
 # Exceptions of a call that got no complete response. The library raises a
-# `RuntimeError` for a body that is not encoded as its headers state.
-CALL_ERRORS = (TimeoutError, ClientError, OSError, RuntimeError)
+# `RuntimeError` for a body that is not encoded as its headers state, and a `ValueError`
+# for a host name that cannot be looked up.
+CALL_ERRORS = (TimeoutError, ClientError, OSError, RuntimeError, ValueError)
 
 
 def _make_socket(info: tuple[Any, ...]) -> socket.socket:
@@ -42,6 +50,8 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return the host and the port of ``IP:PORT``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    """Return the host and the port of ``HOST:PORT``; raise `AddressError`."""
+    match = ADDRESS.fullmatch(address)
+    if match is None or int(match[2]) > PORT_MAXIMUM:
+        raise AddressError(f"{address[:LOGGED_CHARACTERS]!a} is not HOST:PORT")
+    return match[1], int(match[2])
--- a/packages/core/src/marigold/core/exceptions.py
+++ b/packages/core/src/marigold/core/exceptions.py
@@ -16,6 +16,10 @@
     """An error that the user of the command line can correct."""
 
 
+class AddressError(MarigoldError):
+    """Text is not the address of a host and a port."""
+
+
 class LinkError(MarigoldError):
     """A link to a peer failed or could not be opened."""
 
--- a/packages/core/src/marigold/core/links/transport.py
+++ b/packages/core/src/marigold/core/links/transport.py
@@ -13,7 +13,13 @@
 from websockets.asyncio.server import Server, serve
 from websockets.exceptions import InvalidHandshake, WebSocketException
 
-from marigold.core.exceptions import LinkAuthError, LinkError, LinkMessageError
+from marigold.core.connections import split_address
+from marigold.core.exceptions import (
+    AddressError,
+    LinkAuthError,
+    LinkError,
+    LinkMessageError,
+)
 from marigold.core.links.codec import decode, encode
 from marigold.core.links.connection import (
     LinkClientConnection,
@@ -128,6 +134,10 @@
 
     Raise `LinkError` if the peer cannot be reached or fails to authenticate.
     """
+    try:
+        split_address(address)
+    except AddressError as exc:
+        raise LinkError(f"no link: {exc}") from exc
     tls = _make_tls_context(ctx.cfg.tls, ssl.Purpose.SERVER_AUTH)
     uri = f"{'wss' if tls else 'ws'}://{address}"
     conn: LinkClientConnection | None = None
@@ -142,7 +152,13 @@
             )
             peer = await _authenticate_to_server(conn, ctx)
             return Link(conn, ctx, peer, address)
-    except (OSError, TimeoutError, InvalidHandshake, WebSocketException) as exc:
+    except (
+        OSError,
+        TimeoutError,
+        UnicodeError,
+        InvalidHandshake,
+        WebSocketException,
+    ) as exc:
         _abort(conn)
         raise LinkError(f"no link to {address}: {exc!r}") from exc
     except BaseException:
--- a/packages/entry/src/marigold/entry/relay/crashes.py
+++ b/packages/entry/src/marigold/entry/relay/crashes.py
@@ -13,7 +13,7 @@
 from collections.abc import Awaitable, Callable
 
 from marigold.core.connections import split_address
-from marigold.core.exceptions import MarigoldError
+from marigold.core.exceptions import AddressError, MarigoldError
 from marigold.core.logging import get_logger
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.views import RunnerView
@@ -44,13 +44,13 @@
 
     Raise `ProbeUnansweredError` when it does not answer, such as when it is cut off.
     """
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError) as exc:
+    except (AddressError, OSError, TimeoutError, UnicodeError) as exc:
         raise ProbeUnansweredError(f"{address}: {exc!r}") from exc
     writer.transport.abort()
     return False
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -13,6 +13,7 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
+    InvalidURL,
 )
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
@@ -192,7 +193,10 @@
         Raise `NotSentError`, `NotRunError` or `BrokenAnswerError`.
         """
         headers = self._header_codec.make_runner_headers(req.headers, runner_head)
-        url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
+        try:
+            url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
+        except ValueError as exc:
+            raise NotSentError(f"{view.id}: {exc!r}") from exc
         try:
             resp = await self._session.request(
                 req.method,
@@ -205,7 +209,7 @@
                 max_line_size=MAXIMUM_HEADER_BYTES,
                 max_field_size=MAXIMUM_HEADER_BYTES,
             )
-        except (ClientConnectorError, ConnectionTimeoutError) as exc:
+        except (ClientConnectorError, ConnectionTimeoutError, InvalidURL) as exc:
             raise NotSentError(f"{view.id}: {exc!r}") from exc
         except (ClientError, OSError, ValueError) as exc:
             raise ConnectionLostError(f"{view.id}: {exc!r}") from exc
