Answer requests that meet an unexpected exception

Seen: bare 500s with the library's text ("Server got itself in trouble"), without a word on whether the request has run, at first for addresses of other writers, and for anything else that nothing handles. They leave no line in the log of the request.

Cause: the front end knew its own errors only; every other exception went to the HTTP library.

An exception before the request is accepted, or before it is sent, is now answered as any request that was not served (503, "executed": "no"); one after it was sent with 502 and "unknown", and it is not sent again; one within a stream closes the connection, so that the stream does not look whole. Each has a log line with the place of the exception.

--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -123,7 +123,7 @@
                 self._ctx.id, self._req.get_fingerprint
             )
         except TrialRefusedError as exc:
-            raise self._make_error(str(exc), exc.retry_after, QuarantinedError) from exc
+            raise self.make_error(str(exc), exc.retry_after, QuarantinedError) from exc
 
     async def _try_runner(self, trial: Trial) -> web.StreamResponse | RunnerError:
         """Send the request to one runner; return the response or the error."""
@@ -151,9 +151,9 @@
         try:
             return await self._server.scheduler.acquire(self._ctx)
         except NotServedError as exc:
-            raise self._make_error(f"no runner: {exc}", exc.retry_after) from exc
+            raise self.make_error(f"no runner: {exc}", exc.retry_after) from exc
 
-    def _make_error(
+    def make_error(
         self,
         reason: str,
         retry_after: float | None,
@@ -175,7 +175,7 @@
         The request may have waited, or this process may have been suspended.
         """
         if self._ctx.organisation and not self._server.may_use_keys():
-            raise self._make_error(
+            raise self.make_error(
                 "keys were confirmed too long ago",
                 self._server.add_jitter(REFUSED_RETRY_S),
             )
@@ -244,7 +244,7 @@
         elif await self._may_retry(exc):
             return
         retry_after = self._server.add_jitter(REFUSED_RETRY_S)
-        raise self._make_error(f"{ctx.service}: {exc}", retry_after) from exc
+        raise self.make_error(f"{ctx.service}: {exc}", retry_after) from exc
 
     async def _may_retry(self, exc: RunnerError) -> bool:
         ctx = self._ctx
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -213,7 +213,11 @@
             raise NotSentError(f"{view.id}: {exc!r}") from exc
         except (ClientError, OSError, ValueError) as exc:
             raise ConnectionLostError(f"{view.id}: {exc!r}") from exc
-        head = self._header_codec.parse_response_head(resp.status, resp.headers)
+        try:
+            head = self._header_codec.parse_response_head(resp.status, resp.headers)
+        except Exception:
+            resp.close()
+            raise
         if head.is_leaving:
             self._on_leaving(view)
         if not _is_answer_to(ctx, resp.status, head):
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -26,7 +26,7 @@
 from marigold.entry.relay.freshness import KeyFreshness
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
-from marigold.entry.relay.serving import RequestServer
+from marigold.entry.relay.serving import RequestServer, log_unexpected
 from marigold.entry.relay.source import CatalogueSource
 
 log = get_logger(__name__)
@@ -96,19 +96,14 @@
     async def _serve(
         self, http: web.BaseRequest, head: RequestHead, arrived_at: float
     ) -> web.StreamResponse:
-        catalogue = await self._get_catalogue(arrived_at)
-        if self.is_closed:
-            raise NotServedError("this entry is stopping", STALE_RETRY_S)
-        ctx = self._make_context(http, head, catalogue, arrived_at)
-        body = await _read_body(http, catalogue)
-        req = CallerRequest(
-            http.method,
-            http.raw_path,
-            http.headers,
-            body,
-            http.host,
-            ctx.organisation,
-        )
+        try:
+            catalogue = await self._get_catalogue(arrived_at)
+            ctx, req = await self._accept(http, head, catalogue, arrived_at)
+        except RelayError:
+            raise
+        except Exception as exc:
+            log_unexpected(head.attempt, exc)
+            raise NotServedError("internal error", self._make_retry_after()) from exc
         resp = await self._server.serve(http, head, ctx, req, lambda: self.is_stopping)
         seconds = time.monotonic() - arrived_at
         self._metrics.requests.add(str(resp.status), "runner")
@@ -123,6 +118,28 @@
         )
         return resp
 
+    async def _accept(
+        self,
+        http: web.BaseRequest,
+        head: RequestHead,
+        catalogue: Catalogue,
+        arrived_at: float,
+    ) -> tuple[RequestContext, CallerRequest]:
+        """Check a request and read all of it."""
+        if self.is_closed:
+            raise NotServedError("this entry is stopping", STALE_RETRY_S)
+        ctx = self._make_context(http, head, catalogue, arrived_at)
+        body = await _read_body(http, catalogue)
+        req = CallerRequest(
+            http.method,
+            http.raw_path,
+            http.headers,
+            body,
+            http.host,
+            ctx.organisation,
+        )
+        return ctx, req
+
     async def _get_catalogue(self, arrived_at: float) -> Catalogue:
         """Return the current catalogue; wait for the first one after the start.
 
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -6,10 +6,12 @@
 import math
 import random
 import time
+import traceback
 from collections.abc import Callable
 
 from aiohttp import web
 
+from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import HeaderCodec, RequestHead
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.crashes import CrashDetector, RunnerCrash
@@ -17,6 +19,7 @@
     AnswerCutError,
     AnswerLateError,
     NotServedError,
+    RelayError,
 )
 from marigold.entry.relay.execution import REFUSED_RETRY_S, RequestExecution
 from marigold.entry.relay.forwarding import (
@@ -27,6 +30,22 @@
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.suspicion.admission import SuspectAdmission, Trial
 
+log = get_logger(__name__)
+
+# Length to which the message of an unexpected exception is logged.
+LOGGED_CHARACTERS = 200
+
+
+def log_unexpected(request: str, exc: Exception) -> None:
+    """Log an exception that is no expected failure of a request, and its place."""
+    frame = traceback.extract_tb(exc.__traceback__)[-1]
+    log.event(
+        "unexpected_error",
+        request=request,
+        reason=ascii(exc)[:LOGGED_CHARACTERS],
+        place=f"{frame.filename}:{frame.lineno}",
+    )
+
 
 class RequestServer:
     """Serves requests that the front end has accepted.
@@ -91,13 +110,13 @@
         is_closing: Callable[[], bool],
     ) -> web.StreamResponse:
         """Answer a request; raise `RelayError` when no answer can be given."""
-        self.scheduler.record_request(ctx)
         execution = RequestExecution(self, http, head, ctx, req, is_closing)
         deadline = min(ctx.deadline, self._deadline)
         timer = asyncio.timeout(deadline - self.monotonic())
         self._timers.add(timer)
         try:
             async with timer:
+                self.scheduler.record_request(ctx)
                 return await execution.serve()
         except TimeoutError as exc:
             if execution.response is not None:
@@ -107,6 +126,14 @@
             if execution.may_have_run:
                 raise AnswerLateError("no answer in time") from exc
             raise NotServedError("no runner in time", REFUSED_RETRY_S) from exc
+        except RelayError:
+            raise
+        except Exception as exc:
+            # A fault of this process or of a library must not end in the library's own
+            # answer: the caller has to learn whether the request may have run.
+            log_unexpected(ctx.id, exc)
+            retry_after = self.add_jitter(REFUSED_RETRY_S)
+            raise execution.make_error("internal error", retry_after) from exc
         finally:
             self._timers.discard(timer)
 
