Parse numbers of callers and runners in one place

Seen: a caller whose Last-Event-Id is "²", or 5,000 digits, got 500 on a route of streams. A runner's event whose id has more than 4,300 digits raised ValueError in the middle of a stream.

Cause: `isdigit` accepts more than `int` does: digits of other kinds, and more of them than Python converts. The adapter's headers had a check of their own; the stream, the administration's If-Match and the tag of an object had not.

--- a/packages/core/src/marigold/core/platform/objects.py
+++ b/packages/core/src/marigold/core/platform/objects.py
@@ -20,6 +20,7 @@
     PlatformError,
     PlatformUnreachableError,
 )
+from marigold.core.numbers import parse_number
 from marigold.core.schema.generated.settings import Platform
 
 MAXIMUM_VALUE_BYTES = 1_000_000
@@ -37,8 +38,7 @@
 
 
 def _get_version(resp: ClientResponse) -> int:
-    tag = resp.headers.get("ETag", "").strip('"')
-    return int(tag) if tag.isdigit() else 0
+    return parse_number(resp.headers.get("ETag", "").strip('"')) or 0
 
 
 class ObjectClient:
--- a/packages/entry/src/marigold/entry/api/administration.py
+++ b/packages/entry/src/marigold/entry/api/administration.py
@@ -13,6 +13,7 @@
 from marigold.core.documents import Fault
 from marigold.core.exceptions import PlatformError
 from marigold.core.logging import get_logger
+from marigold.core.numbers import parse_number
 from marigold.entry.api.responses import make_error_body, make_error_response
 from marigold.entry.exceptions import (
     AnswerError,
@@ -50,9 +51,10 @@
     tag = req.headers.get("If-Match", "").strip('"')
     if not tag:
         return None
-    if not tag.isdigit():
+    version = parse_number(tag)
+    if version is None:
         raise MalformedRequestError("If-Match must hold a version")
-    return int(tag)
+    return version
 
 
 class AdministrationApi:
@@ -158,7 +160,13 @@
                 name: Edit(str(body[name]), int(body["versions"][name]))
                 for name in NAMES
             }
-        except (ValueError, KeyError, TypeError) as exc:
+        except (
+            KeyError,
+            OverflowError,
+            RecursionError,
+            TypeError,
+            ValueError,
+        ) as exc:
             message = "the body must hold plans, allowances and versions"
             raise MalformedRequestError(message) from exc
         return await self._update(edits)
--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from marigold.core.numbers import parse_number
 from marigold.core.platform.adapter import HeaderCodec
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.exceptions import BrokenAnswerError
@@ -81,8 +82,7 @@
         self._is_closing = is_closing
         self._monotonic = monotonic
         self._preamble = b""
-        last = int(last_event) if last_event.isdigit() else None
-        self.sequence = EventSequence(last)
+        self.sequence = EventSequence(parse_number(last_event))
         self.response: web.StreamResponse | None = None
 
     async def relay(
--- a/packages/entry/src/marigold/entry/relay/streams.py
+++ b/packages/entry/src/marigold/entry/relay/streams.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from marigold.core.exceptions import MarigoldError
+from marigold.core.numbers import parse_number
 
 # Maximum size of one event.
 MAXIMUM_EVENT_BYTES = 1 << 20
 
 
 class StreamOrderError(MarigoldError):
-    """An event is too large or does not follow the previous one."""
+    """An event or its id is too large, or it does not follow the previous one."""
 
 
 class Event:
@@ -26,7 +27,10 @@
     for line in data.splitlines():
         name, _, value = line.partition(b":")
         if name == b"id" and value.strip().isdigit():
-            return int(value)
+            number = parse_number(value.strip().decode())
+            if number is None:
+                raise StreamOrderError("the id of an event has too many digits")
+            return number
     return None
 
 
@@ -49,7 +53,8 @@
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that are complete.
 
-        Raise `StreamOrderError` when one is larger than `MAXIMUM_EVENT_BYTES`.
+        Raise `StreamOrderError` when one is larger than `MAXIMUM_EVENT_BYTES`, or when
+        its id is too large.
         """
         buffer = self._buffer + data
         events = []
--- a/packages/entry/tests/relay_streams_tests.py
+++ b/packages/entry/tests/relay_streams_tests.py
@@ -29,6 +29,10 @@
             events = [event for part in parts for event in splitter.feed(part)]
             self.assertEqual(b"".join(event.data for event in events), data)
 
+    def test_id_with_too_many_digits_is_rejected(self):
+        with self.assertRaises(StreamOrderError):
+            EventSplitter().feed(b"id: " + b"9" * 6000 + b"\ndata: a\n\n")
+
 
 class EventSequenceTests(unittest.TestCase):
     def check(self, sequence, *numbers):
