Keep followers alive when an item or a subscriber fails

Seen: after one entry whose service, data centre or model holds half a surrogate pair, the hub's list of runners stands still for the entries that follow it, and after the next listing for the hub as well, also once the entry is removed.

Cause: followers call the subscribers of a list one after another in the task that watches the store. The first exception ended the task without a line in the log, and nothing starts it again: here the encoding of the changes for other processes (UnicodeEncodeError), before it the address of a runner. A change that cannot be read at all was asked for again and again from the same revision.

A subscriber that fails is logged and the others are called. What a call of the feed raises, other than that the store is unreachable, leads to a new listing. The hub leaves out an item that has no encoding, and a channel drops a message that has none and goes on.

--- a/packages/core/src/marigold/core/links/channels.py
+++ b/packages/core/src/marigold/core/links/channels.py
@@ -12,6 +12,8 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
+from cbor2 import CBOREncodeError
+
 from marigold.core.exceptions import LinkClosedError
 from marigold.core.links.identity import Identity
 from marigold.core.links.link import Link
@@ -21,6 +23,8 @@
 
 # Send queue of a channel; it holds the messages of a few busy seconds of a hub.
 PENDING_MAXIMUM = 2000
+# Length to which the reason for a message that has no encoding is logged.
+REASON_CHARACTERS = 200
 
 
 class Channel(ABC):
@@ -69,6 +73,9 @@
                 except LinkClosedError:
                     # The reader of the link ends as well and logs it.
                     return
+                except (CBOREncodeError, ValueError) as exc:
+                    reason = repr(exc)[:REASON_CHARACTERS]
+                    log.event("message_unsendable", peer=self.peer, reason=reason)
             self._has_pending.clear()
 
     async def __aiter__(self) -> AsyncIterator[Any]:
--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -17,7 +17,11 @@
 from typing import TypeVar
 
 from marigold.core.boottime import get_boottime
-from marigold.core.exceptions import HistoryLostError, PlatformError
+from marigold.core.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    PlatformUnreachableError,
+)
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import Changes, Feed, Listing
 from marigold.core.platform.object_cache import ObjectCache
@@ -116,7 +120,13 @@
                 self._needs_listing = True
                 await asyncio.sleep(delay * (0.5 + self._rng.random()))
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
-            except (PlatformError, TimeoutError) as exc:
+            except Exception as exc:
+                # A watch from the same revision would meet the same change again if
+                # that is what cannot be read.
+                if not isinstance(exc, PlatformUnreachableError | TimeoutError):
+                    self._needs_listing = True
+                if not isinstance(exc, PlatformError | TimeoutError):
+                    log.event("feed_failed", feed=self.name, reason=repr(exc))
                 self._record_failure(exc, sent_at)
                 await asyncio.sleep(delay * (0.5 + self._rng.random()))
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -143,4 +143,9 @@
             age=self.get_age(),
         )
         for subscriber in self._subscribers:
-            subscriber()
+            # A subscriber that fails on one item must not keep the others from the
+            # change, or end the task that follows the store.
+            try:
+                subscriber()
+            except Exception as exc:
+                log.event("subscriber_failed", feed=self.name, reason=repr(exc))
--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -12,7 +12,7 @@
 from typing import Any, Generic, TypeVar
 
 from cattrs.preconf.cbor2 import make_converter
-from cbor2 import CBORDecodeError, dumps, loads
+from cbor2 import CBORDecodeError, CBOREncodeError, dumps, loads
 
 from marigold.core.boottime import get_boottime
 from marigold.core.exceptions import LinkMessageError
@@ -43,6 +43,8 @@
 ROUTE = "route:"
 SERVICE = "service:"
 ORGANISATION = "organisation:"
+# Exceptions for a value without an encoding, such as text with half a surrogate pair.
+ENCODING_ERRORS = (CBOREncodeError, RecursionError, ValueError)
 # Name of the single item into which the parts of a configuration are joined.
 CONFIGURATION_NAME = "main"
 
@@ -138,12 +140,23 @@
 
 def _encode(parts: Mapping[str, Any]) -> bytes:
     unstructure = _CONVERTER.unstructure
-    return dumps(
-        {
-            name: None if part is None else unstructure(part)
-            for name, part in parts.items()
-        }
-    )
+    fields = {
+        name: None if part is None else unstructure(part)
+        for name, part in parts.items()
+    }
+    try:
+        return dumps(fields)
+    except ENCODING_ERRORS:
+        return dumps(dict(filter(_is_encodable, fields.items())))
+
+
+def _is_encodable(item: tuple[str, Any]) -> bool:
+    try:
+        dumps(item)
+    except ENCODING_ERRORS as exc:
+        log.event("part_malformed", name=ascii(item[0][:80]), reason=repr(exc)[:80])
+        return False
+    return True
 
 
 def _decode(data: bytes, codec: PartCodec[Any]) -> Parts:
@@ -158,7 +171,14 @@
         }
     except CBORDecodeError as exc:
         raise LinkMessageError(f"malformed parts: {exc}") from exc
-    except (ArithmeticError, AttributeError, LookupError, TypeError, ValueError) as exc:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
         raise LinkMessageError(f"malformed parts: {exc!r}") from exc
 
 
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -6,13 +6,18 @@
 import random
 import unittest
 
-from marigold.core.exceptions import HistoryLostError, PlatformUnreachableError
+from marigold.core.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    PlatformUnreachableError,
+)
 from marigold.core.platform.adapter import Changes, Feed, Listing
 from marigold.core.platform.feeds import (
     RECONNECT_WAIT_S,
     UNAVAILABLE_AFTER_S,
     FeedFollower,
 )
+from marigold.core.platform.object_cache import ObjectCache
 from marigold.standins.virtual_time import get_time, run_virtual
 
 WAIT_S = 2.0
@@ -73,6 +78,35 @@
             await task
 
 
+class UnexpectedErrorTests(FeedFollowerTestCase):
+    """What one change or one subscriber raises does not end the follower."""
+
+    async def test_unexpected_exception_leads_to_a_new_listing(self):
+        for error in (KeyError("x"), RecursionError("x"), PlatformError("not JSON")):
+            with self.subTest(repr(error)):
+                await self.follow(
+                    (0.0, Listing({"a": 1}, 7)),
+                    (0.1, error),
+                    (0.1, Listing({"b": 2}, 9)),
+                )
+                self.assertEqual(self.feed.calls, ["read", 7, "read", 9])
+                self.assertEqual(self.follower.items, {"b": 2})
+
+    async def test_unreachable_store_leads_to_no_listing(self):
+        error = PlatformUnreachableError("away")
+        await self.follow((0.0, Listing({"a": 1}, 7)), (0.1, error))
+        self.assertEqual(self.feed.calls, ["read", 7, 7])
+
+    def test_failing_subscriber_does_not_keep_others_from_a_change(self):
+        cache = ObjectCache("things", Clock())
+        published = []
+        cache.subscribe(lambda: int("x"))
+        cache.subscribe(lambda: published.append(dict(cache.items)))
+        cache.replace_all({"a": 1}, 7, "store")
+        cache.apply_changes({"b": 2}, 8, "store")
+        self.assertEqual(published, [{"a": 1}, {"a": 1, "b": 2}])
+
+
 class FeedFollowerTests(FeedFollowerTestCase):
     async def test_listing_confirms_the_time_of_its_request(self):
         await self.follow((0.5, Listing({"a": 1}, 7)))
--- a/packages/core/tests/replication_tests.py
+++ b/packages/core/tests/replication_tests.py
@@ -122,6 +122,20 @@
         self.deliver()
         self.assertEqual(set(self.cache.items), {"i1", "i2", "i3"})
 
+    def test_item_without_an_encoding_does_not_keep_others_from_followers(self):
+        odd = make_runner("odd", service="\ud800")
+        self.hub.replace_all({"i1": make_runner("i1"), "odd": odd}, 5, "store")
+        self.hub.confirm(5, self.now)
+        self.follow()
+        self.deliver()
+        self.assertEqual(set(self.cache.items), {"i1"})
+        changes = {"i2": make_runner("i2"), "odd": make_runner("odd", slots=1)}
+        self.hub.apply_changes(changes, 6, "store")
+        self.hub.apply_changes({"odd": odd}, 7, "store")
+        self.hub.apply_changes({"i3": make_runner("i3")}, 8, "store")
+        self.assertEqual(self.deliver(), [True] * 3)
+        self.assertLessEqual({"i1", "i2", "i3"}, set(self.cache.items))
+
     def test_malformed_parts_raise_an_error_and_change_nothing(self):
         self.list_at(self.hub, 5, "i1")
         self.follow()
