End a companion whose control loop has failed

Seen: a companion whose control loop ends by an exception stays up: it is linked to its hub and answers for its metrics, but polls its runner no more and never loads another version.

Cause: the process waited for its stop only, and nobody read the result of the task. The entry waits for its tasks as well.

Both processes wait in the same way now: the exception is logged and ends the process, which the platform restarts.

--- a/packages/core/src/marigold/core/lifecycle.py
+++ b/packages/core/src/marigold/core/lifecycle.py
@@ -45,6 +45,18 @@
     asyncio.run(_run(process))
 
 
+async def wait_for_stop(
+    stopping: asyncio.Task[bool], *tasks: asyncio.Task[None]
+) -> None:
+    """Wait for the stop; raise the error of a task that fails before."""
+    done, _ = await asyncio.wait(
+        {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in done - {stopping}:
+        log.event("task_failed", reason=repr(task.exception()))
+        task.result()
+
+
 async def cancel_tasks(*tasks: asyncio.Task[None]) -> None:
     """Cancel tasks and wait until they have ended."""
     for task in tasks:
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -17,7 +17,7 @@
 from marigold.core.commands import tune_garbage_collector
 from marigold.core.connections import make_connector, split_address
 from marigold.core.documents import DocumentError
-from marigold.core.lifecycle import Process, cancel_tasks
+from marigold.core.lifecycle import Process, cancel_tasks, wait_for_stop
 from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.links.link import LinkContext
 from marigold.core.links.transport import serve_links
@@ -250,13 +250,10 @@
     async def _wait(self, stop: asyncio.Event, tasks: list[asyncio.Task[None]]) -> None:
         """Wait for the stop; raise the error of a task that fails before."""
         stopping = asyncio.create_task(stop.wait())
-        done, _ = await asyncio.wait(
-            {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
-        )
-        stopping.cancel()
-        for task in done - {stopping}:
-            log.event("task_failed", reason=repr(task.exception()))
-            task.result()
+        try:
+            await wait_for_stop(stopping, *tasks)
+        finally:
+            stopping.cancel()
 
     async def _join_cell(self) -> None:
         """Join the other entries and stay attached to a hub until cancelled."""
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -12,7 +12,7 @@
 from marigold.core.boottime import get_boottime
 from marigold.core.clock import HybridClock
 from marigold.core.connections import make_connector, split_address
-from marigold.core.lifecycle import Process, cancel_tasks
+from marigold.core.lifecycle import Process, cancel_tasks, wait_for_stop
 from marigold.core.links.channels import Channel, LinkChannel
 from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.links.link import Link, LinkContext
@@ -133,10 +133,11 @@
             metrics = {"/metrics": self._get_metrics}
             await stack.enter_async_context(serve_paths(cfg.metrics, metrics))
             main = asyncio.create_task(self._run_updates(adapter, session, updater))
+            stopping = asyncio.create_task(stop.wait())
             try:
-                await stop.wait()
+                await wait_for_stop(stopping, main, following)
             finally:
-                await cancel_tasks(main, following)
+                await cancel_tasks(stopping, main, following)
         log.event("companion_stopped")
         output.close()
 
