Give each call of a listing its own time

Seen: with 30 entries of a megabyte among those of the runners (skipped, since their state is no state) no entry and no companion follows the list any more.

Cause: the store hands out about a megabyte a call, and the follower gave all calls of a listing together the time of one. A change too large for one answer leads to a listing, which then never came to its end.

Each call has its timeout in the adapter. The follower's own bounds the whole listing at 32 calls.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -44,6 +44,8 @@
 # Time without a response, in addition to the wait of a watch, after which the store
 # counts as unavailable. It covers several short calls, since single ones may fail.
 UNAVAILABLE_AFTER_S = 0.4
+# Calls that one listing may take, each of which returns about a megabyte.
+LISTING_CALLS = 32
 SOURCE = "store"
 
 
@@ -142,7 +144,8 @@
     async def _read(self) -> None:
         sent_at = self._clock()
         self._set_response_deadline(UNAVAILABLE_AFTER_S)
-        async with asyncio.timeout(self._timeout):
+        # A long list takes several calls, each of which has a timeout of its own.
+        async with asyncio.timeout(self._timeout * LISTING_CALLS):
             listing = await self._feed.read()
         # The store responded at an unknown time after the call was sent.
         self._apply_listing(listing, sent_at)
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -21,6 +21,7 @@
 from marigold.standins.virtual_time import get_time, run_virtual
 
 WAIT_S = 2.0
+CALL_TIMEOUT_S = 0.05
 
 
 class ScriptedFeed(Feed):
@@ -92,6 +93,20 @@
                 self.assertEqual(self.feed.calls, ["read", 7, "read", 9])
                 self.assertEqual(self.follower.items, {"b": 2})
 
+    async def test_listing_may_take_longer_than_one_call(self):
+        class LongFeed(ScriptedFeed):
+            async def read(self):
+                for _ in range(3):
+                    await asyncio.sleep(CALL_TIMEOUT_S * 0.9)
+                return await super().read()
+
+        feed = LongFeed(Clock(), (0.0, Listing({"a": 1}, 7)))
+        follower = FeedFollower(feed, WAIT_S, CALL_TIMEOUT_S, random.Random(1))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(CALL_TIMEOUT_S * 4)
+        task.cancel()
+        self.assertEqual(follower.items, {"a": 1})
+
     async def test_unreachable_store_leads_to_no_listing(self):
         error = PlatformUnreachableError("away")
         await self.follow((0.0, Listing({"a": 1}, 7)), (0.1, error))
