Bound what a companion reads of its runner and of the origin

Seen: a report, a chunk or a manifest without end is read until the call times out: 1.4 to 1.8 GB in one call on loopback, far beyond the memory of a host, so that the companion is killed.

Cause: bodies of these calls were read whole, whatever their length; those of the store were not.

--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -6,7 +6,7 @@
 import socket
 from typing import Any
 
-from aiohttp import ClientError, TCPConnector
+from aiohttp import ClientError, ClientResponse, TCPConnector
 
 from marigold.core.exceptions import AddressError
 
@@ -49,6 +49,19 @@
     )
 
 
+async def read_body(resp: ClientResponse, limit: int) -> bytes:
+    """Return the body, or a beginning of more than `limit` bytes of a longer one."""
+    parts = []
+    size = 0
+    while size <= limit and (part := await resp.content.readany()):
+        parts.append(part)
+        size += len(part)
+    if size > limit:
+        # The rest may have no end, and would be read before the connection is reused.
+        resp.close()
+    return b"".join(parts)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``HOST:PORT``; raise `AddressError`."""
     match = ADDRESS.fullmatch(address)
