--- a/packages/entry/src/marigold/entry/suspicion/persistence.py
+++ b/packages/entry/src/marigold/entry/suspicion/persistence.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from marigold.core.exceptions import PlatformError
+from marigold.core.exceptions import PlatformError, PlatformUnreachableError
 from marigold.core.lifecycle import cancel_tasks
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import Registry
@@ -125,7 +125,13 @@
             if case.refused > 0
         }
         for fingerprint in self._stored - refused.keys():
-            await self._registry.delete(fingerprint)
+            try:
+                await self._registry.delete(fingerprint)
+            except PlatformUnreachableError:
+                raise
+            except PlatformError as exc:
+                # An object that cannot be deleted must not hold up the others.
+                log.event("quarantine_kept", fingerprint=fingerprint, reason=exc)
             del self._stored[fingerprint]
             log.event("quarantine_deleted", fingerprint=fingerprint)
         for fingerprint, case in refused.items():
