--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -17,7 +17,11 @@
 from typing import TypeVar
 
 from marigold.core.boottime import get_boottime
-from marigold.core.exceptions import HistoryLostError, PlatformError
+from marigold.core.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    PlatformUnreachableError,
+)
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import Changes, Feed, Listing
 from marigold.core.platform.object_cache import ObjectCache
@@ -41,6 +45,8 @@
 # Time without a response, in addition to the wait of a watch, after which the store
 # counts as unavailable. It covers several short calls, since single ones may fail.
 UNAVAILABLE_AFTER_S = 0.4
+# Calls that one listing may take, each of which returns about a megabyte.
+LISTING_CALLS = 32
 SOURCE = "store"
 
 
@@ -127,7 +133,13 @@
                 self._is_continuous = False
                 await self._pause(delay)
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
-            except (PlatformError, TimeoutError) as exc:
+            except Exception as exc:
+                # A watch from the same revision would meet the same change again if
+                # that is what cannot be read.
+                if not isinstance(exc, PlatformUnreachableError | TimeoutError):
+                    self._needs_listing = True
+                if not isinstance(exc, PlatformError | TimeoutError):
+                    log.event("feed_failed", feed=self.name, reason=repr(exc))
                 self._record_failure(exc, sent_at)
                 await self._pause(delay)
                 delay = min(delay * 2, RETRY_MAXIMUM_S)
@@ -148,7 +160,8 @@
     async def _read(self) -> None:
         sent_at = self._clock()
         self._set_response_deadline(UNAVAILABLE_AFTER_S)
-        async with asyncio.timeout(self._timeout):
+        # A long list takes several calls, each of which has a timeout of its own.
+        async with asyncio.timeout(self._timeout * LISTING_CALLS):
             listing = await self._feed.read()
         # The store responded at an unknown time after the call was sent.
         self._apply_listing(listing, sent_at)
--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from marigold.core.logging import get_logger
+from marigold.core.numbers import parse_number
 from marigold.core.platform.adapter import HeaderCodec
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.exceptions import BrokenAnswerError
@@ -20,7 +21,6 @@
     EventSequence,
     EventSplitter,
     StreamOrderError,
-    parse_event_id,
 )
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
@@ -92,7 +92,7 @@
         self._is_closing = is_closing
         self._monotonic = monotonic
         self._preamble = b""
-        self.sequence = EventSequence(parse_event_id(last_event))
+        self.sequence = EventSequence(parse_number(last_event))
         self.response: web.StreamResponse | None = None
 
     async def relay(
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -13,6 +13,7 @@
     ClientSession,
     ClientTimeout,
     ConnectionTimeoutError,
+    InvalidURL,
 )
 from aiohttp.connector import Connection
 from yarl import URL
@@ -227,7 +228,10 @@
         if refused_on is not None:
             refused_on.force_close()
         headers = self._header_codec.make_runner_headers(req.headers, runner_head)
-        url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
+        try:
+            url = URL(f"http://{view.runner.address}{req.path}", encoded=True)
+        except ValueError as exc:
+            raise NotSentError(f"{view.id}: {exc!r}") from exc
         try:
             resp = await self._session.request(
                 req.method,
@@ -240,11 +244,15 @@
                 max_line_size=MAXIMUM_HEADER_BYTES,
                 max_field_size=MAXIMUM_HEADER_BYTES,
             )
-        except (ClientConnectorError, ConnectionTimeoutError) as exc:
+        except (ClientConnectorError, ConnectionTimeoutError, InvalidURL) as exc:
             raise NotSentError(f"{view.id}: {exc!r}") from exc
         except (ClientError, OSError, ValueError) as exc:
             raise ConnectionLostError(f"{view.id}: {exc!r}") from exc
-        head = self._header_codec.parse_response_head(resp.status, resp.headers)
+        try:
+            head = self._header_codec.parse_response_head(resp.status, resp.headers)
+        except Exception:
+            resp.close()
+            raise
         if head.is_leaving:
             self._on_leaving(view)
         if not _is_answer_to(ctx, resp, head):
