Move the reading of partly unreadable JSON from the adapter to the core

The module knows nothing of the platform's names, formats or calls. Moved as it was, but for the first lines of its docstring; platform_json_tests passes.

--- a/platform/src/marigold/platform/json_body.py
+++ b/packages/core/src/marigold/core/json_body.py
@@ -1,8 +1,8 @@
-"""Reading of the store's JSON, in which single objects may be unreadable.
+"""Reading of JSON in which single objects may be unreadable.
 
-Objects come from several writers, and the store sends many of them in one body. A value
-that the parser refuses, such as one that is nested too deeply or a number with too many
-digits, must not take the others with it.
+A store sends the objects of several writers in one body. A value that the parser
+refuses, such as one that is nested too deeply or a number with too many digits, must
+not take the others with it.
 """
 
 from __future__ import annotations
