Give the codecs of replicated parts a module of their own

Moved as they were; replication_tests, hub_session_tests, cache_updater_tests and version_follower_tests pass.

--- a/packages/core/tests/replication_tests.py
+++ b/packages/core/tests/replication_tests.py
@@ -7,12 +7,10 @@
 from marigold.core.links.channels import LocalChannel
 from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.platform.object_cache import ObjectCache
+from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec, ItemCodec
 from marigold.core.platform.replication import (
-    SERVICE,
     CacheSubscriber,
     CacheSubscribers,
-    ConfigurationCodec,
-    ItemCodec,
     Publisher,
 )
 from marigold.core.schema.generated.deployment import (
--- a/packages/core/tests/version_follower_tests.py
+++ b/packages/core/tests/version_follower_tests.py
@@ -3,11 +3,8 @@
 import random
 import unittest
 
-from marigold.core.platform.replication import (
-    CacheSubscriber,
-    ItemCodec,
-    Publisher,
-)
+from marigold.core.platform.part_codecs import ItemCodec
+from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.platform.version_follower import (
     SUPERSEDED_MAXIMUM,
     VersionFollower,
--- a/packages/entry/src/marigold/entry/hub/hub.py
+++ b/packages/entry/src/marigold/entry/hub/hub.py
@@ -23,13 +23,8 @@
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import Registry, WeightSource
 from marigold.core.platform.feeds import FeedFollower
-from marigold.core.platform.replication import (
-    CacheSubscriber,
-    ConfigurationCodec,
-    ItemCodec,
-    PartCodec,
-    Publisher,
-)
+from marigold.core.platform.part_codecs import ConfigurationCodec, ItemCodec, PartCodec
+from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.schema.generated.deployment import (
     Configuration,
     EngineModel,
--- a/packages/entry/tests/hub_session_tests.py
+++ b/packages/entry/tests/hub_session_tests.py
@@ -9,10 +9,10 @@
 from hub_fakes import make_identity, make_member
 
 from marigold.core.links.channels import LocalChannel
+from marigold.core.platform.part_codecs import ItemCodec
 from marigold.core.platform.replication import (
     CacheSubscriber,
     CacheSubscribers,
-    ItemCodec,
     Publisher,
 )
 from marigold.core.platform.version_follower import VersionFollower
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -25,12 +25,8 @@
     load_adapter,
 )
 from marigold.core.platform.feeds import FeedFollower
-from marigold.core.platform.replication import (
-    SERVICE,
-    CacheSubscriber,
-    ConfigurationCodec,
-    ItemCodec,
-)
+from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec, ItemCodec
+from marigold.core.platform.replication import CacheSubscriber
 from marigold.core.schema.generated.deployment import (
     Configuration,
     Runner,
--- a/packages/target/tests/cache_updater_tests.py
+++ b/packages/target/tests/cache_updater_tests.py
@@ -10,7 +10,8 @@
 from marigold.core.links.identity import Identity
 from marigold.core.platform.feeds import FeedFollower
 from marigold.core.platform.object_cache import ObjectCache
-from marigold.core.platform.replication import CacheSubscriber, ItemCodec, Publisher
+from marigold.core.platform.part_codecs import ItemCodec
+from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.platform.weights import dump_manifest
 from marigold.core.schema.generated.deployment import WantedVersion
 from marigold.core.schema.generated.messages import (
