Look for a crash when a stream without a length ends too soon

Cause: an answer without a length ends with its connection, also when its runner crashes and the system closes the connection without a reset. Such a stream was known to be incomplete, but it counted as a wrong answer of a live runner, which is not probed. So no crash was recorded against any key, and a trial ended as if its runner had survived.

A stream without a length that ends within an event, without events, or without one on resuming is now a lost connection, as one that is reset is: the runner is probed, or the runner list tells later. Retries are the same for both. A live runner that cuts its answers still listens and is not listed anew, so that it raises no suspicion.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -12,7 +12,7 @@
 from marigold.core.numbers import parse_number
 from marigold.core.platform.adapter import HeaderCodec
 from marigold.entry.hub.scheduler import EntryScheduler
-from marigold.entry.relay.exceptions import BrokenAnswerError
+from marigold.entry.relay.exceptions import BrokenAnswerError, ConnectionLostError
 from marigold.entry.relay.forwarding import RunnerAnswer
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
@@ -176,13 +176,15 @@
             if not data:
                 break
             await self._relay_data(view, answer, splitter, data, watchdog)
+        # Without a length the stream ended with its connection, perhaps in a crash.
+        error = BrokenAnswerError if answer.is_framed else ConnectionLostError
         if splitter.has_partial_event:
-            raise BrokenAnswerError(f"{view.id}: ended within an event")
+            raise error(f"{view.id}: ended within an event")
         if self.response is None:
-            raise BrokenAnswerError(f"{view.id}: a stream without events")
+            raise error(f"{view.id}: a stream without events")
         if self.sequence.last == before and not (content_type and answer.is_framed):
             # A resumed stream may be empty, but then it has to state that it is whole.
-            raise BrokenAnswerError(f"{view.id}: no event on resuming")
+            raise error(f"{view.id}: no event on resuming")
         answer.finish()
         view.health.record_success(self._monotonic())
         await self.response.write_eof()
--- a/packages/entry/src/marigold/entry/relay/exceptions.py
+++ b/packages/entry/src/marigold/entry/relay/exceptions.py
@@ -130,7 +130,7 @@
 
 
 class ConnectionLostError(BrokenAnswerError):
-    """The connection broke or became unreadable before the answer was complete."""
+    """The connection broke, ended or became unreadable within the answer."""
 
 
 class SilentRunnerError(BrokenAnswerError):
