Investigate attempts that an unexpected exception ends

Callers of a suspected request or part got 503 for four seconds, though its runner was alive, after an attempt had met an exception that nothing handles, such as a write to a caller whose connection is closing. If the runner had crashed, nothing was recorded.

Cause: an attempt that is neither answered nor failed was recorded as abandoned only when it was cancelled; the frontend has answered other exceptions since. The trial ended as inconclusive, without a probe.

Evidence, on the code before: test_unexpected_error_during_a_trial_does_not_block_the_next: 503 != 200

Whatever ends an attempt after it was sent is now recorded as abandoned: the runner of a suspect is probed, other attempts are resolved by the runner list. Before it is sent, the trial is not inconclusive, so that nothing is recorded.

--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
@@ -140,9 +139,10 @@
             self._record_failure(view, exc, outcome)
             trial.is_inconclusive = not await self._investigate_crash(view, exc, trial)
             return exc
-        except asyncio.CancelledError:
+        except BaseException:
+            # The caller left, time ran out, or nothing handles the exception.
             if trial.is_inconclusive:
-                self._server.record_abandoned(trial, self._make_crash(view, trial))
+                server.record_abandoned(trial, self._make_crash(view, trial))
             raise
         finally:
             server.scheduler.release(self._ctx, view, outcome.name, outcome.backoff)
