Keep a lost connection for the runner list when its probe is cancelled

Seen in review only: a crash counts against no request if its caller leaves, or its time runs out, while the runner is probed (up to 0.15 s where the host does not answer), so that a deadly request or part reaches one runner more.

Cause: a connection that broke was left to the runner list only after a probe that had ended without evidence, not after one that was cancelled.

Evidence, on the code before: test_probe_that_is_cancelled_leaves_the_crash_to_the_list: 0 != 1

It is now left to the list whenever the probe has not shown a crash.

--- a/packages/entry/src/marigold/entry/relay/crashes.py
+++ b/packages/entry/src/marigold/entry/relay/crashes.py
@@ -132,11 +132,16 @@
         """
         if crash.view.is_leaving or crash.view.runner.is_draining:
             return True
-        if is_reset and await self._is_refused(crash.view):
+        has_crashed = False
+        try:
+            has_crashed = is_reset and await self._is_refused(crash.view)
+        finally:
+            # The caller may leave during the probe.
+            if not has_crashed:
+                self._pending.append((self._monotonic(), crash))
+        if has_crashed:
             self._report(crash, "refused")
-            return True
-        self._pending.append((self._monotonic(), crash))
-        return False
+        return has_crashed
 
     async def investigate_abandoned(self, crash: RunnerCrash) -> bool:
         """Probe a runner at which a request was abandoned.
--- a/packages/entry/tests/crashes_tests.py
+++ b/packages/entry/tests/crashes_tests.py
@@ -108,6 +108,15 @@
         self.detector.record_restart(view)
         self.assertEqual(len(self.crashed), 2)
 
+    async def test_probe_that_is_cancelled_leaves_the_crash_to_the_list(self):
+        view = make_view()
+        task = asyncio.create_task(self.investigate(view))
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.detector.record_restart(view)
+        self.assertEqual(len(self.crashed), 1)
+
     async def test_requests_that_broke_together_share_a_probe(self):
         view = make_view()
         calls = (self.investigate(view, fingerprint=str(n)) for n in range(16))
