Keep an attempt at a silent runner until another one has begun to answer

What callers saw: a stream ended within its answer, neither whole nor refused, though its runner was sound and only paused for a second. A plain request got 502.

Cause: the watchdog ended an attempt once its runner had sent nothing for 0.9 s, and only then was it asked whether the request could go on elsewhere. Where the retries of the deployment were used up, or the next runner refused the request, nothing was left to answer it. A pause of a runner with many streams asks for as many retries at once.

Evidence: the four tests of platform_pauses_tests for a runner that pauses for 1.2 s failed before: three callers of streams got events 1 and 2 of 5 and a closed connection, one of a plain request 502. They are one with the budget spent, eight streams beside a change of the configuration, a plain request, and a full second runner.

Why this works: an attempt whose runner falls silent goes on in the background, without its place at the runner. Once another runner has sent an event or a whole answer it is closed; if no other one can, its answer is read on from where it stopped, with the state of its parser. The request ends then as the paused runner ends it, or at its own deadline. A runner that died is still left as early as before.

Ruled out: asking for the retry before the attempt is ended helps with the budget, but not with a runner that then refuses; a longer bound of silence only moves the pause that is too long, and keeps streams at dead runners past the time at which their callers leave.

123 tests of the nine modules on streams, failures, duplicates and deadly requests pass.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -49,6 +49,26 @@
         self.backoff = 0.0
 
 
+class AnswerReader:
+    """Reads one answer, and can go on after a stall.
+
+    `last_event` is the id of the last event that was relayed before this answer, and
+    `preamble` what came before its own first event.
+    """
+
+    __slots__ = ("answer", "last_event", "preamble", "splitter")
+
+    def __init__(self, answer: RunnerAnswer, last_event: int | None) -> None:
+        self.answer = answer
+        self.last_event = last_event
+        self.splitter = EventSplitter()
+        self.preamble = b""
+
+    async def read_all(self) -> bytes:
+        """Return the whole body."""
+        return await self.answer.read_all(MAXIMUM_ANSWER_BYTES)
+
+
 class AnswerRelay:
     """Relays the answer to one request, which may come from several runners in turn.
 
@@ -65,7 +85,6 @@
         "_metrics",
         "_monotonic",
         "_on_start",
-        "_preamble",
         "_scheduler",
         "response",
         "sequence",
@@ -91,29 +110,35 @@
         self._ctx = ctx
         self._is_closing = is_closing
         self._monotonic = monotonic
-        self._preamble = b""
         self.sequence = EventSequence(parse_number(last_event))
         self.response: web.StreamResponse | None = None
 
+    def start(
+        self, view: RunnerView, answer: RunnerAnswer, outcome: AttemptOutcome
+    ) -> AnswerReader:
+        """Return a reader for an answer whose head has been received."""
+        self._record_head(view, answer, outcome)
+        return AnswerReader(answer, self.sequence.last)
+
     async def relay(
         self,
         view: RunnerView,
-        answer: RunnerAnswer,
+        reader: AnswerReader,
         watchdog: AttemptWatchdog,
         outcome: AttemptOutcome,
     ) -> web.StreamResponse:
         """Relay the whole answer of a runner.
 
-        Raise `BrokenAnswerError` when it is incomplete or not trustworthy.
+        Raise `BrokenAnswerError` when it is incomplete or not trustworthy. After
+        `SilentRunnerError`, the same call goes on with the answer.
         """
-        self._preamble = b""
-        self._record_head(view, answer, outcome)
+        answer = reader.answer
         if self._ctx.route.is_stream and answer.status == 200:
-            return await self._relay_stream(view, answer, watchdog)
+            return await self._relay_stream(view, reader, watchdog)
         if self.response is not None:
             # The stream has begun, so that the body is of no use.
             raise BrokenAnswerError(f"{view.id}: status {answer.status} on resuming")
-        body = await watchdog.guard(answer.read_all(MAXIMUM_ANSWER_BYTES))
+        body = await watchdog.guard(reader.read_all)
         answer.finish()
         now = self._monotonic()
         view.record_progress(now)
@@ -162,27 +187,28 @@
         await resp.prepare(self._http)
 
     async def _relay_stream(
-        self, view: RunnerView, answer: RunnerAnswer, watchdog: AttemptWatchdog
+        self, view: RunnerView, reader: AnswerReader, watchdog: AttemptWatchdog
     ) -> web.StreamResponse:
+        answer = reader.answer
         if not answer.head.is_signed:
             raise BrokenAnswerError(f"{view.id}: a stream without a signature")
         content_type = answer.headers.get("Content-Type", "")
         if content_type and not content_type.startswith(EVENT_STREAM_TYPE):
             raise BrokenAnswerError(f"{view.id}: {content_type} is no event stream")
-        splitter = EventSplitter()
-        before = self.sequence.last
         while True:
             data = await watchdog.guard_read(answer.read)
             if not data:
                 break
-            await self._relay_data(view, answer, splitter, data, watchdog)
+            await self._relay_data(view, reader, data, watchdog)
         # Without a length the stream ended with its connection, perhaps in a crash.
         error = BrokenAnswerError if answer.is_framed else ConnectionLostError
-        if splitter.has_partial_event:
+        if reader.splitter.has_partial_event:
             raise error(f"{view.id}: ended within an event")
         if self.response is None:
             raise error(f"{view.id}: a stream without events")
-        if self.sequence.last == before and not (content_type and answer.is_framed):
+        if self.sequence.last == reader.last_event and not (
+            content_type and answer.is_framed
+        ):
             # A resumed stream may be empty, but then it has to state that it is whole.
             raise error(f"{view.id}: no event on resuming")
         answer.finish()
@@ -193,29 +219,28 @@
     async def _relay_data(
         self,
         view: RunnerView,
-        answer: RunnerAnswer,
-        splitter: EventSplitter,
+        reader: AnswerReader,
         data: bytes,
         watchdog: AttemptWatchdog,
     ) -> None:
         events = []
         failure = None
         try:
-            for event in splitter.feed(data):
+            for event in reader.splitter.feed(data):
                 self.sequence.check(event)
                 events.append(event)
         except StreamOrderError as exc:
             failure = exc
         if events:
             # They count as relayed, so that a resumed stream goes on after them.
-            await self._relay_events(view, answer, events, watchdog)
+            await self._relay_events(view, reader, events, watchdog)
         if failure is not None:
             raise BrokenAnswerError(f"{view.id}: {failure}") from failure
 
     async def _relay_events(
         self,
         view: RunnerView,
-        answer: RunnerAnswer,
+        reader: AnswerReader,
         events: list[Event],
         watchdog: AttemptWatchdog,
     ) -> None:
@@ -225,16 +250,17 @@
             view.record_progress(self._monotonic())
             watchdog.record_event()
         elif not self._ctx.is_started:
-            self._preamble += data
-            if len(self._preamble) > MAXIMUM_PREAMBLE_BYTES:
+            reader.preamble += data
+            if len(reader.preamble) > MAXIMUM_PREAMBLE_BYTES:
                 raise BrokenAnswerError(f"{view.id}: no event, but bytes without end")
             return
-        data, self._preamble = self._preamble + data, b""
+        data, reader.preamble = reader.preamble + data, b""
         if not self._ctx.is_started:
             self._scheduler.mark_started(self._ctx)
             self._record_first_event(view, watchdog)
             self._on_start()
         if self.response is None:
+            answer = reader.answer
             headers = self._header_codec.make_caller_headers(answer.headers)
             resp = web.StreamResponse(status=answer.status, headers=headers)
             resp.enable_chunked_encoding()
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -9,8 +9,9 @@
 from aiohttp import web
 
 from marigold.core.logging import get_logger
-from marigold.core.platform.adapter import RequestHead, RunnerRequestHead
+from marigold.core.platform.adapter import RequestHead
 from marigold.entry.relay.answers import AnswerRelay, AttemptOutcome
+from marigold.entry.relay.attempts import Attempt, make_runner_head
 from marigold.entry.relay.crashes import RunnerCrash
 from marigold.entry.relay.exceptions import (
     AnswerCutError,
@@ -48,10 +49,6 @@
 MAXIMUM_UNSENT = 4
 # Retry-After when runners report that they have not run the request.
 REFUSED_RETRY_S = 0.3
-# Added to the priority value of requests that have missed their latency target, and the
-# largest priority value.
-LATE_PRIORITY_INCREMENT = 4
-MAXIMUM_PRIORITY = 9
 # Seconds before the deadline in which a request is no longer sent.
 MINIMUM_REMAINING_S = 0.01
 
@@ -59,7 +56,8 @@
 class RequestExecution:
     """The attempts of one request, one after another.
 
-    `may_have_run` is set from the first attempt that a runner may have executed.
+    `may_have_run` is set from the first attempt that a runner may have executed. An
+    attempt whose runner fell silent is kept until another runner has begun to answer.
     """
 
     __slots__ = (
@@ -67,6 +65,7 @@
         "_ctx",
         "_req",
         "_server",
+        "_stalled",
         "_unsent_attempts",
         "may_have_run",
     )
@@ -84,6 +83,7 @@
         self._ctx = ctx
         self._req = req
         self._unsent_attempts = 0
+        self._stalled: Attempt | None = None
         self._answer = AnswerRelay(
             server.scheduler,
             server.header_codec,
@@ -92,7 +92,7 @@
             ctx,
             head.last_event,
             is_closing,
-            lambda: server.suspects.record_start(ctx.id, req),
+            self._record_start,
             server.monotonic,
         )
         self.may_have_run = False
@@ -107,6 +107,17 @@
 
         Raise `RelayError` when there are no further attempts.
         """
+        try:
+            return await self._try_runners()
+        except RelayError as exc:
+            attempt, self._stalled = self._stalled, None
+            if attempt is None:
+                raise
+            return await self._continue(attempt, exc)
+        finally:
+            self._drop_stalled()
+
+    async def _try_runners(self) -> web.StreamResponse:
         while True:
             trial = await self._admit()
             try:
@@ -117,6 +128,41 @@
                 return result
             await self._require_retry(result)
 
+    async def _continue(
+        self, attempt: Attempt, reason: RelayError
+    ) -> web.StreamResponse:
+        """Go on with a stalled attempt, as no other runner can answer the request."""
+        server, ctx, view = self._server, self._ctx, attempt.view
+        log.event("attempt_continued", request=ctx.id, runner=view.id, reason=reason)
+        attempt.resume()
+        view.start(ctx, server.monotonic())
+        outcome = attempt.outcome
+        try:
+            resp = await attempt.run()
+            outcome.name = "done"
+            self._record_answer(resp)
+            return resp
+        except RunnerError as exc:
+            attempt.close()
+            self._record_failure(view, exc, outcome)
+            await self._investigate_crash(view, exc, attempt.trial)
+            raise self.make_error(f"{ctx.service}: {exc}", None) from exc
+        except BaseException:
+            attempt.close()
+            raise
+        finally:
+            server.scheduler.release(ctx, view, outcome.name, outcome.backoff)
+
+    def _record_start(self) -> None:
+        """Record that a runner began to answer; a stalled attempt is not needed now."""
+        self._drop_stalled()
+        self._server.suspects.record_start(self._ctx.id, self._req)
+
+    def _drop_stalled(self) -> None:
+        if self._stalled is not None:
+            self._stalled.close()
+            self._stalled = None
+
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
         try:
@@ -280,7 +326,9 @@
         start_window = server.scheduler.get_start_window(ctx, view)
         if start_window <= WITHDRAW_LEAD_S and ctx.route.is_stream:
             raise TooOldError(f"{view.id}: its weights are too old")
-        runner_head = self._make_runner_head(view, now, remaining)
+        runner_head = make_runner_head(
+            server.scheduler, ctx, view, self._answer.sequence.last, now
+        )
         ctx.is_started = False
         ctx.sent_at = now
         ctx.sent_version = view.get_version(ctx.model) or 0
@@ -306,10 +354,17 @@
         # From here on the runner may run the request, even if this task is cancelled.
         could_have_run, self.may_have_run = self.may_have_run, True
         trial.is_inconclusive = True
+        attempt = Attempt(
+            ctx,
+            view,
+            trial,
+            watchdog,
+            partial(server.forwarder.send, view, ctx, self._req, runner_head),
+            self._answer,
+            outcome,
+        )
         try:
-            answer = await watchdog.guard(
-                server.forwarder.send(view, ctx, self._req, runner_head)
-            )
+            resp = await attempt.run()
         except NotSentError:
             ctx.sends -= 1
             self.may_have_run = could_have_run
@@ -317,37 +372,26 @@
         except NotRunError:
             self.may_have_run = could_have_run
             raise
-        try:
-            resp = await self._answer.relay(view, answer, watchdog, outcome)
+        except SilentRunnerError:
+            self._keep(attempt)
+            raise
         except BaseException:
-            answer.abort()
+            attempt.close()
             raise
-        if resp.status < STATUS_FAILURE:
-            server.suspects.record_answer(
-                ctx.id, self._req, ctx.sent_version, ctx.sent_at
-            )
+        self._record_answer(resp)
         return resp
 
-    def _make_runner_head(
-        self, view: RunnerView, now: float, remaining: float
-    ) -> RunnerRequestHead:
-        ctx = self._ctx
-        priority = ctx.precedence + (
-            LATE_PRIORITY_INCREMENT if now > ctx.soft_deadline else 0
-        )
-        last = self._answer.sequence.last
-        return RunnerRequestHead(
-            runner=view.id,
-            remaining=remaining,
-            organisation=ctx.organisation,
-            priority=min(priority, MAXIMUM_PRIORITY) if view.runner.is_engine else None,
-            version=self._get_expected_version(view),
-            last_event="" if last is None else str(last),
-        )
+    def _keep(self, attempt: Attempt) -> None:
+        """Keep an attempt at a silent runner, which may only have paused."""
+        if self._stalled is not None:
+            attempt.close()
+            return
+        attempt.suspend()
+        self._stalled = attempt
 
-    def _get_expected_version(self, view: RunnerView) -> int | None:
-        """Return the version that the runner must hold, None for any."""
-        minimum = self._server.scheduler.get_minimum_version(self._ctx)
-        if minimum is None:
-            return None
-        return max(minimum, view.get_version(self._ctx.model) or 0)
+    def _record_answer(self, resp: web.StreamResponse) -> None:
+        ctx = self._ctx
+        if resp.status < STATUS_FAILURE:
+            self._server.suspects.record_answer(
+                ctx.id, self._req, ctx.sent_version, ctx.sent_at
+            )
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from marigold.core.logging import get_logger
 from marigold.entry.relay.exceptions import SilentRunnerError, WithdrawnError
@@ -37,7 +37,8 @@
     only once are aborted only in the last case. `get_version_window` returns the
     seconds left in which the version that the runner held at sending may start the
     request; it is asked until the request has started, as this process may be suspended
-    or learn of a newer version meanwhile.
+    or learn of a newer version meanwhile. With `tolerates_silence`, attempts are
+    aborted only in the last case.
     """
 
     __slots__ = (
@@ -47,8 +48,10 @@
         "_is_stream",
         "_monotonic",
         "_next_check_at",
+        "_pending",
         "_stall_timeout",
         "_view",
+        "tolerates_silence",
     )
 
     def __init__(
@@ -62,6 +65,8 @@
         self._view = view
         self._get_version_window = get_version_window
         self._monotonic = monotonic
+        self._pending: asyncio.Future[Any] | None = None
+        self.tolerates_silence = False
         self._event_at = self._next_check_at = monotonic()
         # Only a stream shows when it has started.
         self._is_stream = ctx.route.is_stream
@@ -79,19 +84,36 @@
         """Record an event of the stream."""
         self._event_at = self._monotonic()
 
-    async def guard(self, call: Awaitable[T]) -> T:
-        """Await a call; raise `SilentRunnerError` or `WithdrawnError` on a stall."""
-        if not self._needs_checks():
-            return await call
-        task = asyncio.ensure_future(call)
+    async def guard(self, call: Callable[[], Awaitable[T]]) -> T:
+        """Await a call; raise `SilentRunnerError` or `WithdrawnError` on a stall.
+
+        After `SilentRunnerError` the call goes on: `guard` may be called again to wait
+        for it, or `cancel` to end it.
+        """
+        if self._pending is None:
+            if not self._needs_checks():
+                return await call()
+            self._pending = asyncio.ensure_future(call())
+        task: asyncio.Future[T] = self._pending
         try:
             while True:
                 done, _ = await asyncio.wait({task}, timeout=self._get_check_delay())
                 if done:
-                    return task.result()
+                    break
                 self._check()
-        finally:
-            task.cancel()
+        except SilentRunnerError:
+            raise
+        except BaseException:
+            self.cancel()
+            raise
+        self._pending = None
+        return task.result()
+
+    def cancel(self) -> None:
+        """Cancel the call that goes on after a stall, if any."""
+        if self._pending is not None:
+            self._pending.cancel()
+            self._pending = None
 
     async def guard_read(self, read: Callable[[], Awaitable[T]]) -> T:
         """Guard a call that may be cancelled and repeated, without a task for it."""
@@ -134,7 +156,7 @@
                 late=WITHDRAW_LEAD_S - window,
             )
             raise WithdrawnError(f"{id}: not begun before its weights are too old")
-        if not ctx.may_retry():
+        if self.tolerates_silence or not ctx.may_retry():
             return
         if self._view.is_silent(now):
             raise SilentRunnerError(f"{id}: nothing came")
