Order what is read from the store by the era and the revision

What callers saw: after the store came back from a copy, an added route got 404 at all entries, long after its change had been confirmed (CONFIG).

Cause: a revision names a moment of one history only, and was compared over the return. A cache rejected each listing until the revisions of the restored store had passed the old ones; where they had passed them before an entry asked, its watch went on at the old revision, which named a later moment now, and missed what had been written before it.

Why this works: the adapter reads the era of each response and joins it with the revision to one position, and positions are ordered over all eras. A watch whose response is of another era than it asked for, or a listing whose pages are of two, counts as lost history and is listed anew. What comes late from an earlier era is older than what is known, wherever positions are compared: caches, messages of hubs, requests and ages. A hub sends all parts when its era changes, and to each process that follows it after a return, as caches of one position may then differ.

--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -1,6 +1,7 @@
 """Interfaces that a platform adapter implements.
 
-An adapter contains the names, formats and calls of a platform, but no policy. It is a
+An adapter contains the names, formats and calls of a platform, but no policy. What it
+calls a revision is a position (`marigold.core.platform.positions`). It is a
 Python module, which the setting `platform.adapter` names, with one function:
 
     def make_adapter(cfg: PlatformAccess) -> Adapter: ...
@@ -38,7 +39,7 @@
 
 
 class Listing(Generic[T]):
-    """All objects of a kind by name, as of a revision of the store."""
+    """All objects of a kind by name, as of a position in the store's history."""
 
     __slots__ = ("items", "revision")
 
@@ -48,7 +49,7 @@
 
 
 class Changes(Generic[T]):
-    """Changed objects by name up to a revision, None for removed ones."""
+    """Changed objects by name up to a position, None for removed ones."""
 
     __slots__ = ("items", "revision")
 
@@ -64,13 +65,17 @@
 
     @abstractmethod
     async def read(self) -> Listing[T]:
-        """Return all objects."""
+        """Return all objects.
+
+        Raise `HistoryLostError` if the store came back from a copy meanwhile.
+        """
 
     @abstractmethod
     async def watch(self, revision: int, wait: float) -> Changes[T]:
-        """Wait up to `wait` seconds for changes after a revision and return them.
+        """Wait up to `wait` seconds for changes after a position and return them.
 
-        Raise `HistoryLostError` if the store no longer has these changes.
+        Raise `HistoryLostError` if the store no longer has these changes, or has come
+        back from a copy since.
         """
 
 
--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -90,6 +90,7 @@
         self._has_changes = False
         self._is_disconnected = False
         self._needs_listing = True
+        self._listing_at = math.inf
         self._is_continuous = False
         self._is_resumed = False
         self._responded_at: float | None = None
@@ -121,19 +122,19 @@
             self._set_response_deadline(None)
 
     async def _follow(self) -> None:
-        delay = RETRY_S
+        delay = lost_delay = RETRY_S
         while True:
             sent_at = self._clock()
             try:
                 if await self._follow_once():
-                    delay = RETRY_S
+                    delay = lost_delay = RETRY_S
             except HistoryLostError as exc:
                 log.event("history_lost", feed=self.name, reason=exc)
                 self._needs_listing = True
                 # The change may be as old as the last watch.
                 self._is_continuous = False
-                await self._pause(delay)
-                delay = min(delay * 2, RETRY_MAXIMUM_S)
+                await self._pause(lost_delay)
+                lost_delay = min(lost_delay * 2, RETRY_MAXIMUM_S)
             except Exception as exc:
                 # A watch from the same revision would meet the same change again if
                 # that is what cannot be read.
@@ -152,7 +153,7 @@
 
     async def _follow_once(self) -> bool:
         """List or watch once; return True after a watch, which needs the history."""
-        if self._needs_listing:
+        if self._needs_listing or self._clock() >= self._listing_at:
             await self._read()
             return False
         await self._watch()
@@ -164,9 +165,14 @@
         # A long list takes several calls, each of which has a timeout of its own.
         async with asyncio.timeout(self._timeout * LISTING_CALLS):
             listing = await self._feed.read()
+        self._listing_at = math.inf
         # The store responded at an unknown time after the call was sent.
         self._apply_listing(listing, sent_at)
 
+    def _schedule_listing(self, seconds: float) -> None:
+        """List all objects again after some seconds."""
+        self._listing_at = self._clock() + seconds
+
     def _apply_listing(self, listing: Listing[T], confirmed_at: float) -> None:
         changed_at = self._get_earliest_change_time()
         if not self.replace_all(listing.items, listing.revision, SOURCE, changed_at):
--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -1,7 +1,8 @@
 """Local cache of the objects of one kind in the platform's store.
 
-A cache is filled from the store directly or from the hub of the process. Its revision
-never decreases, and it records when the store last confirmed its contents.
+A cache is filled from the store directly or from the hub of the process. Its revision,
+a position in the history of the store, never decreases, and it records when the store
+last confirmed its contents.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 
 from marigold.core.boottime import get_boottime
 from marigold.core.logging import get_logger
+from marigold.core.platform.positions import get_era, is_restored
 
 log = get_logger(__name__)
 
@@ -27,7 +29,11 @@
 
 
 class ObjectCache(Generic[T]):
-    """Items by name, as of a revision of the store.
+    """Items by name, as of a position in the history of the store.
+
+    `restored_era` is the last era that began while this cache had contents, 0 if none
+    did. Such a cache may hold items that the restored store has lost. `on_restore` is
+    called when one begins.
 
     `confirmed_at` is the boot time at which the store last confirmed `items`, None
     before its first response. `recovered_at` is the boot time at which the store was
@@ -46,6 +52,8 @@
         self.recovered_at: float | None = None
         self.valid_from: dict[str, float] = {}
         self.change_count = 0
+        self.restored_era = 0
+        self.on_restore: Callable[[], None] = lambda: None
 
     def subscribe(self, subscriber: Subscriber) -> None:
         """Register a function that is called after each change."""
@@ -59,9 +67,17 @@
 
     def confirm(self, revision: int, confirmed_at: float) -> None:
         """Record that the items were current at a boot time, as of a revision."""
-        self.revision = max(self.revision, revision)
+        self._advance(revision)
         self.confirmed_at = max(self.confirmed_at or 0.0, confirmed_at)
 
+    def _advance(self, revision: int) -> None:
+        before, self.revision = self.revision, max(self.revision, revision)
+        if is_restored(before, revision):
+            self.restored_era = get_era(revision)
+            self.recovered_at = self._clock()
+            log.event("store_restored", feed=self.name, era=self.restored_era)
+            self.on_restore()
+
     def replace_all(
         self,
         items: Mapping[str, T],
@@ -85,8 +101,10 @@
                 source=source,
             )
             return False
-        self.revision = revision
         after = dict(items)
+        if is_restored(self.revision, revision):
+            self._keep_lost(after)
+        self._advance(revision)
         times = {**valid_from, **self._keep_superseded(after)}
         if after != self.items:
             before, self.items = self.items, after
@@ -115,7 +133,7 @@
                 changed[name] = item
         kept = self._keep_superseded(changed)
         # An item that was rewritten without a change keeps its time.
-        new = [name for name in items if self.items.get(name) != items[name]]
+        new = [name for name in items if self.items.get(name) != changed.get(name)]
         self.items = changed
         self._update_valid_from([*new, *kept], changed_at, kept)
         self._publish("changed", len(items), source)
@@ -127,6 +145,12 @@
         """
         return None
 
+    def _keep_lost(self, items: dict[str, T]) -> None:
+        """Add what a restored store may have lost to its items, and correct older ones.
+
+        Most kinds take the items as they are.
+        """
+
     def _keep_superseded(self, items: dict[str, T]) -> Times:
         """Add current items to keep to the next ones; return the times of those added.
 
--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -1,8 +1,10 @@
 """Replication of store objects from a hub to the processes that follow it.
 
 Only changes are sent. A `Publisher` splits its object cache into named parts and sends
-those that changed; a `CacheSubscriber` joins them again. Both use the revisions of the
-store, so that a subscriber can switch to another hub that is ahead or behind.
+those that changed; a `CacheSubscriber` joins them again. Both use positions in the
+store's history, so that a subscriber can switch to another hub that is ahead or behind.
+After a return of the store from a copy, caches may differ at the same position, as each
+keeps what it knew; the first message of a hub then has all parts.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from marigold.core.logging import get_logger
 from marigold.core.platform.object_cache import ObjectCache
 from marigold.core.platform.part_codecs import PartCodec, Parts
+from marigold.core.platform.positions import get_era
 from marigold.core.schema.generated.messages import (
     Ages,
     BeliefAge,
@@ -84,6 +87,11 @@
     return {name: part for name, part in parts.items() if name.startswith(prefix)}
 
 
+def _is_restored(cache: ObjectCache[Any]) -> bool:
+    """Return whether a cache may hold what the store of its era does not have."""
+    return 0 < cache.restored_era == get_era(cache.revision)
+
+
 Follower = Callable[[BeliefChange], None]
 
 
@@ -115,9 +123,10 @@
         if self._cache.confirmed_at is None:
             # The first listing is published as a change.
             return
-        is_behind = request.revision < self._cache.revision
+        revision = self._cache.revision
+        is_behind = request.revision < revision or _is_restored(self._cache)
         parts = _select(self._parts, request.prefix) if is_behind else {}
-        follower(self._make_change(parts, self._cache.revision, is_behind))
+        follower(self._make_change(parts, revision, is_behind))
 
     def unfollow(self, follower: Follower) -> None:
         """Stop sending changes to a follower."""
@@ -165,11 +174,14 @@
                 changed[name] = part
         self._parts = parts
         base, self._revision = self._revision, self._cache.revision
+        is_snapshot = get_era(base) != get_era(self._revision)
+        if is_snapshot:
+            changed = parts
         messages: dict[str, BeliefChange] = {}
         for follower, prefix in list(self._followers.items()):
             if prefix not in messages:
                 messages[prefix] = self._make_change(
-                    _select(changed, prefix), base, False
+                    _select(changed, prefix), base, is_snapshot
                 )
             follower(messages[prefix])
 
@@ -200,7 +212,9 @@
         self._requested_at = self._clock()
         self._parts = _select(self._codec.split(self._cache.items), self._prefix)
         known = self._cache.confirmed_at is not None
-        revision = self._cache.revision if known else -1
+        revision = self._cache.revision
+        if not known or _is_restored(self._cache):
+            revision = -1
         return FollowBelief(kind=self.kind, revision=revision, prefix=self._prefix)
 
     def apply(
@@ -214,11 +228,16 @@
         """
         cache = self._cache
         is_known = cache.confirmed_at is not None or bool(self._parts)
-        if not change.whole and is_known and change.base > cache.revision:
-            return False
+        is_news = change.revision > cache.revision or (
+            change.whole and change.revision == cache.revision
+        )
+        if not change.whole and is_known and is_news:
+            is_other_era = get_era(change.base) != get_era(change.revision)
+            if change.base > cache.revision or is_other_era:
+                return False
         parts = _decode(change.items, self._codec)
         self._is_synced = True
-        if is_known and change.revision <= cache.revision:
+        if is_known and not is_news:
             # The hub is behind this process, or the change is known already.
             return True
         now = self._clock()
