Keep what was confirmed when the store comes back from an older copy

What callers would see: a version of the configuration that was in force is gone until the operator writes it again, for each process that starts or attaches meanwhile; a version of weights, and the time from which it counts, goes back; entries leave the order of hubs; a runner that said that it leaves, or is gone, gets requests again (CONFIG, VERSION, DRAIN).

Cause: the first listing of a restored store replaced everything that was known. Only the catalogue of an entry kept its version, and not what it passes on as a hub.

Why this works: followers of configurations and wanted versions take no older version of an item, and keep what a restored store lacks; both only increase, and what the operator really undid has a newer version. Entries are kept, as they register again.

--- a/packages/core/src/marigold/core/platform/version_follower.py
+++ b/packages/core/src/marigold/core/platform/version_follower.py
@@ -11,7 +11,7 @@
 
 from collections import defaultdict
 
-from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.followers import VersionedFollower
 from marigold.core.platform.object_cache import Times
 from marigold.core.schema.generated.deployment import WantedVersion
 
@@ -27,7 +27,7 @@
     return name.removesuffix(f"{SEPARATOR}{item.version}")
 
 
-class VersionFollower(FeedFollower[WantedVersion]):
+class VersionFollower(VersionedFollower[WantedVersion]):
     """Follower whose items include superseded versions under names of their own.
 
     They are replicated like other items, with the times at which they were named.
@@ -41,6 +41,7 @@
         return self.confirmed_at
 
     def _keep_superseded(self, items: dict[str, WantedVersion]) -> Times:
+        super()._keep_superseded(items)
         times: dict[str, float | None] = {}
         for name, item in self.items.items():
             store_name = _get_store_name(name, item)
--- a/packages/entry/src/marigold/entry/relay/directory.py
+++ b/packages/entry/src/marigold/entry/relay/directory.py
@@ -61,6 +61,8 @@
         if view is not None and view.runner.started_ms == runner.started_ms:
             if runner.is_draining and not view.runner.is_draining:
                 log.event("runner_draining", runner=runner.id, service=runner.service)
+            # A restored store may list it as ready again.
+            view.is_leaving |= view.runner.is_draining
             view.runner = runner
             view.delisted_at = None
             return
--- a/packages/entry/src/marigold/entry/relay/store_watches.py
+++ b/packages/entry/src/marigold/entry/relay/store_watches.py
@@ -11,6 +11,11 @@
 
 from marigold.core.platform.adapter import Adapter, Feed
 from marigold.core.platform.feeds import UNAVAILABLE_AFTER_S, FeedFollower
+from marigold.core.platform.followers import (
+    MemberFollower,
+    RunnerFollower,
+    VersionedFollower,
+)
 from marigold.core.platform.version_follower import VersionFollower
 from marigold.core.schema.generated.settings import (
     Bounds,
@@ -86,8 +91,13 @@
             adapter.make_configuration_feed(store),
             compute_configuration_wait(access.configuration_wait, cfg.bounds),
             change_wait=CONFIRMATION_WAIT_S,
+            cls=VersionedFollower,
+        ),
+        follow(
+            adapter.make_runner_feed(store), wait, RUNNER_BATCH_S, cls=RunnerFollower
         ),
-        follow(adapter.make_runner_feed(store), wait, RUNNER_BATCH_S),
         follow(adapter.make_version_feed(store), wait, cls=VersionFollower),
-        follow(adapter.make_member_feed(store), wait, MEMBER_BATCH_S),
+        follow(
+            adapter.make_member_feed(store), wait, MEMBER_BATCH_S, cls=MemberFollower
+        ),
     )
--- a/packages/entry/tests/relay_directory_tests.py
+++ b/packages/entry/tests/relay_directory_tests.py
@@ -47,6 +47,11 @@
         self.list_runners()
         self.assertEqual(self.get_ids(), [])
 
+    def test_draining_runner_that_a_restored_store_lists_as_ready(self):
+        self.list_runners(make_runner("i1"), make_runner("i2", is_draining=True))
+        self.list_runners(make_runner("i1"), make_runner("i2"))
+        self.assertEqual(self.get_ids(), ["i1"])
+
     def test_restart_under_the_same_id_resets_the_view(self):
         self.list_runners(make_runner("i1"))
         self.directory.find("i1").version_seen = 7
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -25,6 +25,7 @@
     load_adapter,
 )
 from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.followers import VersionedFollower
 from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec, ItemCodec
 from marigold.core.platform.replication import CacheSubscriber
 from marigold.core.schema.generated.deployment import (
@@ -140,7 +141,7 @@
     def _make_updater(self, adapter: Adapter, session: ClientSession) -> CacheUpdater:
         access = self._cfg.platform
         timeout = access.call_timeout
-        self._configurations: FeedFollower[Configuration] = FeedFollower(
+        self._configurations: FeedFollower[Configuration] = VersionedFollower(
             adapter.make_configuration_feed(session, is_stale=True),
             CONFIGURATION_WAIT_S,
             timeout,
@@ -153,7 +154,7 @@
             self._rng,
             batch_delay=RUNNER_BATCH_DELAY_S,
         )
-        self._versions: FeedFollower[WantedVersion] = FeedFollower(
+        self._versions: FeedFollower[WantedVersion] = VersionedFollower(
             adapter.make_version_feed(session), access.watch_wait, timeout, self._rng
         )
         services = CacheSubscriber(
