Log requests that end without an answer, and why

A handler that ended with `CancelledError` left no line, so that a caller's request which got neither an answer nor a refusal could not be told from one whose caller had left.

`request_cancelled` names the request, how long it took, how often it was sent, and the cause: its caller left (a routine line, bounded by `log_lines`), this process cancelled it as it ended, or something that it waited for was cancelled though nothing cancelled its own task.

--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import random
 import time
@@ -67,6 +68,8 @@
         self.running = 0
         self.is_stopping = False
         self.is_closed = False
+        # Set when the connections of callers are closed at the end of the process.
+        self.is_shut_down = False
 
     def is_ready(self) -> bool:
         """Return whether the entry accepts new connections."""
@@ -96,15 +99,15 @@
     async def _serve(
         self, http: web.BaseRequest, head: RequestHead, arrived_at: float
     ) -> web.StreamResponse:
+        ctx = None
         try:
-            catalogue = await self._get_catalogue(arrived_at)
-            ctx, req = await self._accept(http, head, catalogue, arrived_at)
-        except RelayError:
+            catalogue, ctx, req = await self._receive(http, head, arrived_at)
+            resp = await self._server.serve(
+                http, head, ctx, req, lambda: self.is_stopping
+            )
+        except asyncio.CancelledError:
+            self._log_cancelled(http, head, arrived_at, ctx)
             raise
-        except Exception as exc:
-            log_unexpected(head.attempt, exc)
-            raise NotServedError("internal error", self._make_retry_after()) from exc
-        resp = await self._server.serve(http, head, ctx, req, lambda: self.is_stopping)
         seconds = time.monotonic() - arrived_at
         self._metrics.requests.add(str(resp.status), "runner")
         self._metrics.total_time.record(seconds)
@@ -119,6 +122,19 @@
         )
         return resp
 
+    async def _receive(
+        self, http: web.BaseRequest, head: RequestHead, arrived_at: float
+    ) -> tuple[Catalogue, RequestContext, CallerRequest]:
+        try:
+            catalogue = await self._get_catalogue(arrived_at)
+            ctx, req = await self._accept(http, head, catalogue, arrived_at)
+        except RelayError:
+            raise
+        except Exception as exc:
+            log_unexpected(head.attempt, exc)
+            raise NotServedError("internal error", self._make_retry_after()) from exc
+        return catalogue, ctx, req
+
     async def _accept(
         self,
         http: web.BaseRequest,
@@ -240,6 +256,35 @@
             retry_after=exc.retry_after,
         )
 
+    def _log_cancelled(
+        self,
+        http: web.BaseRequest,
+        head: RequestHead,
+        arrived_at: float,
+        ctx: RequestContext | None,
+    ) -> None:
+        """Log a request that ends without an answer.
+
+        Callers leave as a matter of course; any other cause is a fault.
+        """
+        task = asyncio.current_task()
+        is_abandoned = False
+        if task is None or not task.cancelling():
+            cause = "something it waited for was cancelled"
+        elif http.transport is not None or self.is_shut_down:
+            cause = "this process cancelled it"
+        else:
+            is_abandoned = True
+            cause = "its caller left"
+        write = log.routine if is_abandoned else log.event
+        write(
+            "request_cancelled",
+            request=head.attempt,
+            cause=cause,
+            seconds=time.monotonic() - arrived_at,
+            sends=0 if ctx is None else ctx.sends,
+        )
+
 
 def _format_age(age: float | None) -> str:
     return "never" if age is None else f"{age:.1f} s"
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -283,12 +283,16 @@
     ) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
-        stack.push_async_callback(runner.cleanup)
+        stack.push_async_callback(self._close_callers, runner)
         host, port = split_address(address)
         site = web.TCPSite(runner, host, port, backlog=BACKLOG)
         await site.start()
         return site
 
+    async def _close_callers(self, runner: web.ServerRunner) -> None:
+        self._frontend.is_shut_down = True
+        await runner.cleanup()
+
     async def _get_readiness(self, req: web.Request) -> web.Response:
         runners = self._feeds.runners
         is_ready = self._frontend.is_ready() and runners.confirmed_at is not None
