Answer running requests when a task of the process fails

Callers saw their connections closed without an answer or a refusal, all requests of the entry at once: when the task of the hub client, of the local scheduler or of the stall monitor ended by an error, the process closed the connections of callers 0.2 s later, whatever ran there.

Such a request depends on none of these tasks: it holds its runner, has a deadline of its own, and without a hub the entry decides by itself. So the process now drains after an error as it does after SIGTERM, with readiness 503, and then ends by that error.

Four requests whose runner answers after 1.2 s, beside an error of the hub client or of the stall monitor: before, readiness was gone and all four got `ServerDisconnectedError`; now all get 200, and a request that comes during the drain is served.

--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -247,7 +247,12 @@
         log.event("relay_listens", address=cfg.callers, peers=cfg.peers)
         tune_garbage_collector()
         try:
-            await self._wait(stop, tasks)
+            try:
+                await self._wait(stop, tasks)
+            except Exception:
+                # Running requests have no part in the failure.
+                await self._drain(site)
+                raise
             await self._drain(site)
         finally:
             await cancel_tasks(*tasks)
