Treat a task of the process that is cancelled as one that failed

Callers saw the same as with a task that fails: all connections closed without an answer. The process waited for its tasks with `Task.exception()`, which raises `CancelledError` for a cancelled one. That ended the process as if it were cancelled itself: no `task_failed`, and no time for the requests that run.

It is now an error of its own, `TaskCancelledError`, so that the line is written and the process drains.

--- a/packages/core/src/marigold/core/exceptions.py
+++ b/packages/core/src/marigold/core/exceptions.py
@@ -16,6 +16,10 @@
     """An error that the user of the command line can correct."""
 
 
+class TaskCancelledError(MarigoldError):
+    """A task of the process was cancelled while the process runs."""
+
+
 class AddressError(MarigoldError):
     """Text is not the address of a host and a port."""
 
--- a/packages/core/src/marigold/core/lifecycle.py
+++ b/packages/core/src/marigold/core/lifecycle.py
@@ -7,6 +7,7 @@
 import signal
 from abc import ABC, abstractmethod
 
+from marigold.core.exceptions import TaskCancelledError
 from marigold.core.logging import get_logger
 
 log = get_logger(__name__)
@@ -53,8 +54,15 @@
         {stopping, *tasks}, return_when=asyncio.FIRST_COMPLETED
     )
     for task in done - {stopping}:
-        log.event("task_failed", reason=repr(task.exception()))
-        task.result()
+        exc: BaseException | None
+        if task.cancelled():
+            # Its own exception would cancel the caller.
+            exc = TaskCancelledError("a task of the process was cancelled")
+        else:
+            exc = task.exception()
+        log.event("task_failed", reason=repr(exc))
+        if exc is not None:
+            raise exc
 
 
 async def cancel_tasks(*tasks: asyncio.Task[None]) -> None:
