Close a stalled attempt whose answer began before another one was used

What callers saw: nothing.

Cause: after a stall, the call that sends the request goes on as a task. If the head of the answer came while another runner was asked, the task was done, and `close` knew of no answer: cancelling the task did nothing, and nothing closed the connection.

Evidence: the two LateHeadTests failed before; half a second after the other runner had answered, or the caller had left, the runner's connection was open.

Why this works: the task itself hands the answer to the attempt, so that `close` finds it.

The tests of a late refusal and a late reset held before as well; asyncio prints nothing for a task that was cancelled after its end.

9 tests of platform_stalled_tests and platform_pauses_tests pass.

--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -96,14 +96,18 @@
 
     async def run(self) -> web.StreamResponse:
         """Relay the answer; raise `RunnerError` if it is not whole."""
-        if self._answer is None:
-            self._answer = await self.watchdog.guard(self._send)
         if self._reader is None:
-            self._reader = self._relay.start(self.view, self._answer, self.outcome)
+            answer = await self.watchdog.guard(self._fetch_head)
+            self._reader = self._relay.start(self.view, answer, self.outcome)
         return await self._relay.relay(
             self.view, self._reader, self.watchdog, self.outcome
         )
 
+    async def _fetch_head(self) -> RunnerAnswer:
+        # `close` has to find an answer whose head came after a stall.
+        self._answer = await self._send()
+        return self._answer
+
     def suspend(self) -> None:
         """Keep the state of the request before another runner gets it."""
         self._is_started = self._ctx.is_started
