Withdraw a stalled attempt whose weights become too old

Cause: an attempt at a silent runner was kept open while another runner was asked, but its watchdog did not run meanwhile. A stream that had not begun there was not withdrawn in time.

Why this works: a task goes on waiting for the stalled attempt, with the watchdog, which now keeps whether the request had begun there. What it reads ahead is read again if the attempt is continued. An attempt that breaks or is withdrawn meanwhile is closed, and reports that if it is continued.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import math
 import time
 from collections.abc import Callable
@@ -56,17 +57,41 @@
     `preamble` what came before its own first event.
     """
 
-    __slots__ = ("answer", "last_event", "preamble", "splitter")
+    __slots__ = ("_ahead", "_body", "answer", "last_event", "preamble", "splitter")
 
     def __init__(self, answer: RunnerAnswer, last_event: int | None) -> None:
         self.answer = answer
         self.last_event = last_event
         self.splitter = EventSplitter()
         self.preamble = b""
+        self._ahead = b""
+        self._body: bytes | None = None
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or empty bytes at the end."""
+        if self._ahead:
+            data, self._ahead = self._ahead, b""
+            return data
+        return await self.answer.read()
+
+    async def read_ahead(self, watchdog: AttemptWatchdog) -> None:
+        """Wait for the next event, or the end; `read` returns the bytes again."""
+        splitter = copy.copy(self.splitter)
+        try:
+            while data := await watchdog.guard_read(self.answer.read):
+                self._ahead += data
+                if any(event.id is not None for event in splitter.feed(data)):
+                    return
+                if len(self._ahead) > MAXIMUM_PREAMBLE_BYTES:
+                    raise BrokenAnswerError("no event, but bytes without end")
+        except StreamOrderError as exc:
+            raise BrokenAnswerError(str(exc)) from exc
 
     async def read_all(self) -> bytes:
         """Return the whole body."""
-        return await self.answer.read_all(MAXIMUM_ANSWER_BYTES)
+        if self._body is None:
+            self._body = await self.answer.read_all(MAXIMUM_ANSWER_BYTES)
+        return self._body
 
 
 class AnswerRelay:
@@ -196,7 +221,7 @@
         if content_type and not content_type.startswith(EVENT_STREAM_TYPE):
             raise BrokenAnswerError(f"{view.id}: {content_type} is no event stream")
         while True:
-            data = await watchdog.guard_read(answer.read)
+            data = await watchdog.guard_read(reader.read)
             if not data:
                 break
             await self._relay_data(view, reader, data, watchdog)
--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -9,7 +10,11 @@
 from marigold.core.platform.adapter import RunnerRequestHead
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.answers import AnswerReader, AnswerRelay, AttemptOutcome
-from marigold.entry.relay.forwarding import RunnerAnswer
+from marigold.entry.relay.forwarding import (
+    STATUS_FAILURE,
+    STATUS_SUCCESS,
+    RunnerAnswer,
+)
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
@@ -52,19 +57,20 @@
 class Attempt:
     """An attempt at a runner, from sending the request to the end of its answer.
 
-    `run` may be called again after it raised `SilentRunnerError`, as the runner may
-    only have paused. `send` sends the request and returns the answer.
+    After `run` raised `SilentRunnerError`, the runner may only have paused. The attempt
+    is then either closed, or suspended while another runner is asked; `run` may be
+    called again after `resume`. `send` sends the request and returns the answer.
     """
 
     __slots__ = (
         "_answer",
         "_ctx",
-        "_is_started",
         "_reader",
         "_relay",
         "_send",
         "_sent_at",
         "_sent_version",
+        "_watch",
         "outcome",
         "trial",
         "view",
@@ -86,9 +92,9 @@
         self._relay = relay
         self._answer: RunnerAnswer | None = None
         self._reader: AnswerReader | None = None
-        self._is_started = False
         self._sent_at = ctx.sent_at
         self._sent_version = ctx.sent_version
+        self._watch: asyncio.Task[bool] | None = None
         self.view = view
         self.trial = trial
         self.watchdog = watchdog
@@ -96,12 +102,16 @@
 
     async def run(self) -> web.StreamResponse:
         """Relay the answer; raise `RunnerError` if it is not whole."""
+        if self._watch is not None:
+            await self._watch
+        reader = await self._get_reader()
+        return await self._relay.relay(self.view, reader, self.watchdog, self.outcome)
+
+    async def _get_reader(self) -> AnswerReader:
         if self._reader is None:
             answer = await self.watchdog.guard(self._fetch_head)
             self._reader = self._relay.start(self.view, answer, self.outcome)
-        return await self._relay.relay(
-            self.view, self._reader, self.watchdog, self.outcome
-        )
+        return self._reader
 
     async def _fetch_head(self) -> RunnerAnswer:
         # `close` has to find an answer whose head came after a stall.
@@ -109,19 +119,43 @@
         return self._answer
 
     def suspend(self) -> None:
-        """Keep the state of the request before another runner gets it."""
-        self._is_started = self._ctx.is_started
+        """Keep the state of the request before another runner gets it.
+
+        The attempt is closed if it breaks or has to be withdrawn meanwhile.
+        """
+        self.watchdog.started_before_stall = self._ctx.is_started
+        self.watchdog.tolerates_silence = True
+        self._watch = asyncio.create_task(self._wait_progress())
+        self._watch.add_done_callback(self._close_after_failure)
+
+    async def _wait_progress(self) -> bool:
+        """Wait until the runner goes on; return whether its answer is a good one."""
+        reader = await self._get_reader()
+        if not self._ctx.route.is_stream:
+            await self.watchdog.guard(reader.read_all)
+            return reader.answer.status < STATUS_FAILURE
+        if reader.answer.status != STATUS_SUCCESS:
+            return False
+        await reader.read_ahead(self.watchdog)
+        return True
+
+    def _close_after_failure(self, watch: asyncio.Task[bool]) -> None:
+        if not watch.cancelled() and watch.exception() is not None:
+            self.close()
 
     def resume(self) -> None:
         """Restore the state of the request, and wait for the runner to the end."""
         ctx = self._ctx
-        ctx.is_started = self._is_started
+        started = self.watchdog.started_before_stall
+        ctx.is_started = bool(started)
         ctx.sent_at = self._sent_at
         ctx.sent_version = self._sent_version
-        self.watchdog.tolerates_silence = True
+        self.watchdog.started_before_stall = None
 
     def close(self) -> None:
         """Close the connection, so that the runner stops working on the request."""
+        if self._watch is not None:
+            self._watch.cancel()
         self.watchdog.cancel()
         if self._answer is not None:
             self._answer.abort()
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -38,7 +38,8 @@
     seconds left in which the version that the runner held at sending may start the
     request; it is asked until the request has started, as this process may be suspended
     or learn of a newer version meanwhile. With `tolerates_silence`, attempts are
-    aborted only in the last case.
+    aborted only in the last case. `started_before_stall` is set while the request is at
+    another runner.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "_pending",
         "_stall_timeout",
         "_view",
+        "started_before_stall",
         "tolerates_silence",
     )
 
@@ -66,6 +68,7 @@
         self._get_version_window = get_version_window
         self._monotonic = monotonic
         self._pending: asyncio.Future[Any] | None = None
+        self.started_before_stall: bool | None = None
         self.tolerates_silence = False
         self._event_at = self._next_check_at = monotonic()
         # Only a stream shows when it has started.
@@ -80,6 +83,12 @@
         """Return the seconds left in which the request may start, if that shows."""
         return self._get_version_window() if self._is_stream else math.inf
 
+    @property
+    def _has_started(self) -> bool:
+        if self.started_before_stall is not None:
+            return self.started_before_stall
+        return self._ctx.is_started
+
     def record_event(self) -> None:
         """Record an event of the stream."""
         self._event_at = self._monotonic()
@@ -133,11 +142,11 @@
 
     def _needs_checks(self) -> bool:
         ctx = self._ctx
-        return ctx.route.is_idempotent or (self._is_stream and not ctx.is_started)
+        return ctx.route.is_idempotent or (self._is_stream and not self._has_started)
 
     def _get_check_delay(self) -> float:
         """Return the seconds until the next check of the runner."""
-        if self._ctx.is_started:
+        if self._has_started:
             return SILENCE_CHECK_S
         remaining = self.get_start_window() - WITHDRAW_LEAD_S
         return max(min(SILENCE_CHECK_S, remaining), 0.0)
@@ -147,7 +156,7 @@
         now = self._monotonic()
         id = self._view.id
         window = self.get_start_window()
-        if not ctx.is_started and window <= WITHDRAW_LEAD_S:
+        if not self._has_started and window <= WITHDRAW_LEAD_S:
             log.event(
                 "attempt_withdrawn",
                 request=ctx.id,
