Go on with a stalled attempt as soon as its runner does

What callers saw: a stream was cut at its deadline, and a plain request got no answer in time, though the runner that had paused sent the rest of the answer.

Cause: a stalled attempt was only continued once no other runner could be tried. While the request waited for a trial, a place or the answer of a second silent runner, its answer lay unread. The last attempt is not ended for silence, so the wait could last to the deadline.

Evidence: SecondSilenceTests failed before: events 1 and 2 of 5, then a closed connection.

Why this works: the next runner is tried in a task beside the stalled attempt. An event, a whole answer below 400 or a whole stream of the paused runner ends that task, unless the other runner has begun to answer; comments do not. Whichever begins first closes the other one, so that no event can come from both.

Passed: 13 tests of platform_stalled and pauses, 11 of duplicates, 16 of streams, 9 of resuming and 19 of failures.

--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -3,19 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from aiohttp import web
 
 from marigold.core.platform.adapter import RunnerRequestHead
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.answers import AnswerReader, AnswerRelay, AttemptOutcome
+from marigold.entry.relay.exceptions import (
+    NotRunError,
+    NotSentError,
+    ResumedError,
+    RunnerError,
+    SuspectedMeanwhileError,
+    TooOldError,
+    WithdrawnError,
+)
 from marigold.entry.relay.forwarding import (
     STATUS_FAILURE,
     STATUS_SUCCESS,
     RunnerAnswer,
 )
+from marigold.entry.relay.health import UNREACHABLE_WEIGHT
 from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.scheduler import FULL_BACKOFF_S, MISDIRECTED_BACKOFF_S
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
 from marigold.entry.suspicion.admission import Trial
@@ -54,6 +66,34 @@
     )
 
 
+T = TypeVar("T")
+
+
+def record_failed_attempt(
+    view: RunnerView, exc: RunnerError, outcome: AttemptOutcome, now: float
+) -> None:
+    """Set the outcome of a failed attempt, and record it in the runner's health."""
+    match exc:
+        case NotRunError(is_misdirected=False):
+            outcome.name = "full"
+            outcome.backoff = exc.retry_after or FULL_BACKOFF_S
+        case NotRunError():
+            outcome.name = "misdirected"
+            outcome.backoff = MISDIRECTED_BACKOFF_S
+        case TooOldError() | SuspectedMeanwhileError():
+            # Nothing was sent; the next runner is chosen by the new state.
+            pass
+        case NotSentError():
+            outcome.name = "unreachable"
+            view.health.record_failure(now, UNREACHABLE_WEIGHT)
+        case WithdrawnError():
+            # This is no failure of the runner.
+            pass
+        case _:
+            outcome.name = "failed"
+            view.health.record_failure(now)
+
+
 class Attempt:
     """An attempt at a runner, from sending the request to the end of its answer.
 
@@ -139,6 +179,37 @@
         await reader.read_ahead(self.watchdog)
         return True
 
+    @property
+    def has_progress(self) -> bool:
+        """Return whether the runner has gone on since the attempt was suspended."""
+        watch = self._watch
+        if watch is None or not watch.done() or watch.cancelled():
+            return False
+        return watch.exception() is None and watch.result()
+
+    async def run_beside(
+        self, call: Callable[[], Coroutine[Any, Any, T]], may_cancel: Callable[[], bool]
+    ) -> T:
+        """Run a call at another runner while this attempt is suspended.
+
+        Raise `ResumedError` if the runner goes on before that, unless `may_cancel`
+        returns False then.
+        """
+        if self.has_progress:
+            raise ResumedError(f"{self.view.id}: went on")
+        task = asyncio.create_task(call())
+        waiting: set[asyncio.Future[Any]] = {task}
+        if self._watch is not None:
+            waiting.add(self._watch)
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done() and self.has_progress and may_cancel():
+                raise ResumedError(f"{self.view.id}: went on")
+            return await task
+        finally:
+            if task.cancel():
+                await asyncio.gather(task, return_exceptions=True)
+
     def _close_after_failure(self, watch: asyncio.Task[bool]) -> None:
         if not watch.cancelled() and watch.exception() is not None:
             self.close()
--- a/packages/entry/src/marigold/entry/relay/exceptions.py
+++ b/packages/entry/src/marigold/entry/relay/exceptions.py
@@ -80,6 +80,10 @@
     status = 504
 
 
+class ResumedError(RelayError):
+    """No other runner is needed, as a runner that was silent has gone on."""
+
+
 class AnswerCutError(RelayError):
     """The answer broke off after the head of `response` was sent."""
 
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -11,7 +11,11 @@
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import RequestHead
 from marigold.entry.relay.answers import AnswerRelay, AttemptOutcome
-from marigold.entry.relay.attempts import Attempt, make_runner_head
+from marigold.entry.relay.attempts import (
+    Attempt,
+    make_runner_head,
+    record_failed_attempt,
+)
 from marigold.entry.relay.crashes import RunnerCrash
 from marigold.entry.relay.exceptions import (
     AnswerCutError,
@@ -27,15 +31,12 @@
     SilentRunnerError,
     SuspectedMeanwhileError,
     TooOldError,
-    WithdrawnError,
 )
 from marigold.entry.relay.forwarding import (
     STATUS_FAILURE,
     CallerRequest,
 )
-from marigold.entry.relay.health import UNREACHABLE_WEIGHT
 from marigold.entry.relay.requests import RequestContext
-from marigold.entry.relay.scheduler import FULL_BACKOFF_S, MISDIRECTED_BACKOFF_S
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import WITHDRAW_LEAD_S, AttemptWatchdog
 from marigold.entry.suspicion.admission import Trial, TrialRefusedError
@@ -119,15 +120,30 @@
 
     async def _try_runners(self) -> web.StreamResponse:
         while True:
-            trial = await self._admit()
-            try:
-                result = await self._try_runner(trial)
-            finally:
-                trial.end()
+            if self._stalled is None:
+                result = await self._try_next()
+            else:
+                result = await self._try_beside(self._stalled, self.response)
             if not isinstance(result, RunnerError):
                 return result
             await self._require_retry(result)
 
+    async def _try_next(self) -> web.StreamResponse | RunnerError:
+        trial = await self._admit()
+        try:
+            return await self._try_runner(trial)
+        finally:
+            trial.end()
+
+    async def _try_beside(
+        self, attempt: Attempt, resp: web.StreamResponse | None
+    ) -> web.StreamResponse | RunnerError:
+        """Try the next runner until it answers or a stalled attempt goes on."""
+        return await attempt.run_beside(
+            self._try_next,
+            lambda: self._stalled is attempt and self.response is resp,
+        )
+
     async def _continue(
         self, attempt: Attempt, reason: RelayError
     ) -> web.StreamResponse:
@@ -244,25 +260,7 @@
             sends=self._ctx.sends,
             after=now - self._ctx.sent_at,
         )
-        match exc:
-            case NotRunError(is_misdirected=False):
-                outcome.name = "full"
-                outcome.backoff = exc.retry_after or FULL_BACKOFF_S
-            case NotRunError():
-                outcome.name = "misdirected"
-                outcome.backoff = MISDIRECTED_BACKOFF_S
-            case TooOldError() | SuspectedMeanwhileError():
-                # Nothing was sent; the next runner is chosen by the new state.
-                pass
-            case NotSentError():
-                outcome.name = "unreachable"
-                view.health.record_failure(now, UNREACHABLE_WEIGHT)
-            case WithdrawnError():
-                # This is no failure of the runner.
-                pass
-            case _:
-                outcome.name = "failed"
-                view.health.record_failure(now)
+        record_failed_attempt(view, exc, outcome, now)
         if outcome.backoff:
             self._server.scheduler.block(view, outcome.backoff)
         if view.is_leaving:
