--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -2,15 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 from aiohttp import web
 
 from marigold.core.platform.adapter import RunnerRequestHead
 from marigold.entry.hub.scheduler import EntryScheduler
 from marigold.entry.relay.answers import AnswerReader, AnswerRelay, AttemptOutcome
-from marigold.entry.relay.forwarding import RunnerAnswer
+from marigold.entry.relay.exceptions import (
+    NotRunError,
+    NotSentError,
+    ResumedError,
+    RunnerError,
+    SuspectedMeanwhileError,
+    TooOldError,
+    WithdrawnError,
+)
+from marigold.entry.relay.forwarding import (
+    STATUS_FAILURE,
+    STATUS_SUCCESS,
+    RunnerAnswer,
+)
+from marigold.entry.relay.health import UNREACHABLE_WEIGHT
 from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.scheduler import FULL_BACKOFF_S, MISDIRECTED_BACKOFF_S
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import AttemptWatchdog
 from marigold.entry.suspicion.admission import Trial
@@ -49,22 +66,51 @@
     )
 
 
+T = TypeVar("T")
+
+
+def record_failed_attempt(
+    view: RunnerView, exc: RunnerError, outcome: AttemptOutcome, now: float
+) -> None:
+    """Set the outcome of a failed attempt, and record it in the runner's health."""
+    match exc:
+        case NotRunError(is_misdirected=False):
+            outcome.name = "full"
+            outcome.backoff = exc.retry_after or FULL_BACKOFF_S
+        case NotRunError():
+            outcome.name = "misdirected"
+            outcome.backoff = MISDIRECTED_BACKOFF_S
+        case TooOldError() | SuspectedMeanwhileError():
+            # Nothing was sent; the next runner is chosen by the new state.
+            pass
+        case NotSentError():
+            outcome.name = "unreachable"
+            view.health.record_failure(now, UNREACHABLE_WEIGHT)
+        case WithdrawnError():
+            # This is no failure of the runner.
+            pass
+        case _:
+            outcome.name = "failed"
+            view.health.record_failure(now)
+
+
 class Attempt:
     """An attempt at a runner, from sending the request to the end of its answer.
 
-    `run` may be called again after it raised `SilentRunnerError`, as the runner may
-    only have paused. `send` sends the request and returns the answer.
+    After `run` raised `SilentRunnerError`, the runner may only have paused. The attempt
+    is then either closed, or suspended while another runner is asked; `run` may be
+    called again after `resume`. `send` sends the request and returns the answer.
     """
 
     __slots__ = (
         "_answer",
         "_ctx",
-        "_is_started",
         "_reader",
         "_relay",
         "_send",
         "_sent_at",
         "_sent_version",
+        "_watch",
         "outcome",
         "trial",
         "view",
@@ -86,9 +132,9 @@
         self._relay = relay
         self._answer: RunnerAnswer | None = None
         self._reader: AnswerReader | None = None
-        self._is_started = False
         self._sent_at = ctx.sent_at
         self._sent_version = ctx.sent_version
+        self._watch: asyncio.Task[bool] | None = None
         self.view = view
         self.trial = trial
         self.watchdog = watchdog
@@ -96,28 +142,91 @@
 
     async def run(self) -> web.StreamResponse:
         """Relay the answer; raise `RunnerError` if it is not whole."""
-        if self._answer is None:
-            self._answer = await self.watchdog.guard(self._send)
+        if self._watch is not None:
+            await self._watch
+        reader = await self._get_reader()
+        return await self._relay.relay(self.view, reader, self.watchdog, self.outcome)
+
+    async def _get_reader(self) -> AnswerReader:
         if self._reader is None:
-            self._reader = self._relay.start(self.view, self._answer, self.outcome)
-        return await self._relay.relay(
-            self.view, self._reader, self.watchdog, self.outcome
-        )
+            answer = await self.watchdog.guard(self._fetch_head)
+            self._reader = self._relay.start(self.view, answer, self.outcome)
+        return self._reader
+
+    async def _fetch_head(self) -> RunnerAnswer:
+        # `close` has to find an answer whose head came after a stall.
+        self._answer = await self._send()
+        return self._answer
 
     def suspend(self) -> None:
-        """Keep the state of the request before another runner gets it."""
-        self._is_started = self._ctx.is_started
+        """Keep the state of the request before another runner gets it.
+
+        The attempt is closed if it breaks or has to be withdrawn meanwhile.
+        """
+        self.watchdog.started_before_stall = self._ctx.is_started
+        self.watchdog.tolerates_silence = True
+        self._watch = asyncio.create_task(self._wait_progress())
+        self._watch.add_done_callback(self._close_after_failure)
+
+    async def _wait_progress(self) -> bool:
+        """Wait until the runner goes on; return whether its answer is a good one."""
+        reader = await self._get_reader()
+        if not self._ctx.route.is_stream:
+            await self.watchdog.guard(reader.read_all)
+            return reader.answer.status < STATUS_FAILURE
+        if reader.answer.status != STATUS_SUCCESS:
+            return False
+        await reader.read_ahead(self.watchdog)
+        return True
+
+    @property
+    def has_progress(self) -> bool:
+        """Return whether the runner has gone on since the attempt was suspended."""
+        watch = self._watch
+        if watch is None or not watch.done() or watch.cancelled():
+            return False
+        return watch.exception() is None and watch.result()
+
+    async def run_beside(
+        self, call: Callable[[], Coroutine[Any, Any, T]], may_cancel: Callable[[], bool]
+    ) -> T:
+        """Run a call at another runner while this attempt is suspended.
+
+        Raise `ResumedError` if the runner goes on before that, unless `may_cancel`
+        returns False then.
+        """
+        if self.has_progress:
+            raise ResumedError(f"{self.view.id}: went on")
+        task = asyncio.create_task(call())
+        waiting: set[asyncio.Future[Any]] = {task}
+        if self._watch is not None:
+            waiting.add(self._watch)
+        try:
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done() and self.has_progress and may_cancel():
+                raise ResumedError(f"{self.view.id}: went on")
+            return await task
+        finally:
+            if task.cancel():
+                await asyncio.gather(task, return_exceptions=True)
+
+    def _close_after_failure(self, watch: asyncio.Task[bool]) -> None:
+        if not watch.cancelled() and watch.exception() is not None:
+            self.close()
 
     def resume(self) -> None:
         """Restore the state of the request, and wait for the runner to the end."""
         ctx = self._ctx
-        ctx.is_started = self._is_started
+        started = self.watchdog.started_before_stall
+        ctx.is_started = bool(started)
         ctx.sent_at = self._sent_at
         ctx.sent_version = self._sent_version
-        self.watchdog.tolerates_silence = True
+        self.watchdog.started_before_stall = None
 
     def close(self) -> None:
         """Close the connection, so that the runner stops working on the request."""
+        if self._watch is not None:
+            self._watch.cancel()
         self.watchdog.cancel()
         if self._answer is not None:
             self._answer.abort()
