Apply a hub's changes to the hub's parts while it is behind

What callers would see: after a return of the store, an entry that was ahead of a new hub joins a configuration from two histories: routes and keys that the newest version has are missing at this entry (404, 401), and what was lost or withdrawn is still there (CONFIG).

Cause: a change of a hub that is behind was passed over together with its parts, also where it had all of them. The hub's next change, which is relative to these, was applied to the entry's own.

Evidence: JoinedConfigurationTests; an entry that kept version 17 and follows a hub that started after the return, with version 15 of the copy, had an organisation of 17 beside those of 21, and lacked one of 15. Without a return, an entry that reads the store beside its hub lacked the parts of the change that it passed over.

Why this works: the parts that a subscriber keeps are those of its hub from the hub's first message on. The cache still takes only what is newer than its own.

--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -237,18 +237,17 @@
                 return False
         parts = _decode(change.items, self._codec)
         self._is_synced = True
+        # Later changes are to the hub's parts, also while the hub is behind.
+        known = {} if change.whole else self._parts
+        self._parts = {
+            name: part for name, part in (known | parts).items() if part is not None
+        }
         if is_known and not is_news:
             # The hub is behind this process, or the change is known already.
             return True
         now = self._clock()
         if change.returned_age >= 0:
             cache.recovered_at = now - change.returned_age
-        if change.whole:
-            self._parts = {}
-        self._parts.update(parts)
-        self._parts = {
-            name: part for name, part in self._parts.items() if part is not None
-        }
         items = self._codec.join(self._parts)
         if delay is not None:
             made_at = now - delay
--- a/packages/core/tests/eras_tests.py
+++ b/packages/core/tests/eras_tests.py
@@ -7,8 +7,9 @@
 
 from marigold.core.platform.adapter import Listing
 from marigold.core.platform.feeds import FeedFollower
+from marigold.core.platform.followers import VersionedFollower
 from marigold.core.platform.object_cache import ObjectCache
-from marigold.core.platform.part_codecs import ItemCodec
+from marigold.core.platform.part_codecs import ConfigurationCodec, ItemCodec
 from marigold.core.platform.positions import (
     get_era,
     get_revision,
@@ -16,7 +17,11 @@
     make_position,
 )
 from marigold.core.platform.replication import CacheSubscriber, Publisher
-from marigold.core.schema.generated.deployment import WantedVersion
+from marigold.core.schema.generated.deployment import (
+    Configuration,
+    Organisation,
+    WantedVersion,
+)
 
 
 def make_item(version):
@@ -141,6 +146,72 @@
         self.assertEqual(self.get_versions(newcomer), {"a": 1, "b": 1})
 
 
+class JoinedConfigurationTests(unittest.TestCase):
+    """No configuration is joined from the parts of two histories.
+
+    One entry kept version 17, which the restored store lacks; another one started
+    after the return, and has version 15 of the copy at the same position.
+    """
+
+    def get_time(self):
+        return 50.0
+
+    def make_cache(self):
+        return VersionedFollower(None, 2.0, 1.0, random.Random(1), self.get_time)
+
+    def list(self, cache, era, revision, version, *names):
+        organisations = [Organisation(name=name) for name in names]
+        cfg = Configuration(
+            version=version, routes=[], services=[], organisations=organisations
+        )
+        listing = Listing({"main": cfg}, make_position(era, revision))
+        cache._apply_listing(listing, 50.0)
+
+    def make_kept(self, revision=3):
+        cache = self.make_cache()
+        self.list(cache, 1, 900, 17, "both", "lost")
+        self.list(cache, 2, revision, 15, "both", "old")
+        return cache
+
+    def make_new(self):
+        cache = self.make_cache()
+        self.list(cache, 2, 3, 15, "both", "old")
+        return cache
+
+    def follow(self, cache, hub):
+        """Make a cache follow a hub; return a function that ends that."""
+        codec = ConfigurationCodec()
+        subscriber = CacheSubscriber("things", cache, codec, "", self.get_time)
+        publisher = Publisher("things", hub, codec, self.get_time)
+
+        def receive(change):
+            if not subscriber.apply(change, "hub"):
+                publisher.follow(receive, subscriber.make_request())
+
+        publisher.follow(receive, subscriber.make_request())
+        subscriber.apply_age(publisher.get_age(), 50.0)
+        return lambda: publisher.unfollow(receive)
+
+    def check(self, cache, version, *names):
+        cfg = cache.items["main"]
+        self.assertEqual(cfg.version, version)
+        self.assertEqual({item.name for item in cfg.organisations}, set(names))
+
+    def test_entry_that_is_ahead_of_a_new_hub(self):
+        entry, hub = self.make_kept(revision=8), self.make_new()
+        self.follow(entry, hub)
+        self.list(hub, 2, 9, 21, "both", "old", "later")
+        self.check(entry, 21, "both", "old", "later")
+
+    def test_entry_that_reads_the_store_beside_its_hub(self):
+        entry, hub = self.make_new(), self.make_new()
+        self.follow(entry, hub)
+        self.list(entry, 2, 8, 17, "both", "added")
+        self.list(hub, 2, 6, 16, "both", "old", "added")
+        self.list(hub, 2, 9, 21, "both", "old", "added", "later")
+        self.check(entry, 21, "both", "old", "added", "later")
+
+
 class FeedTests(unittest.TestCase):
     """A follower of the store takes the first listing of a later era."""
 
