Pass on that state was kept over a return of the store

What callers would see: after a return, an entry that has what an earlier hub kept, and moves to a hub that started later, joins a configuration from two histories: an organisation that the newest version has is rejected, one that was lost is accepted (CONFIG). An entry whose hub has what an earlier one kept does not get it.

Cause: only a cache that saw the return itself counted as one that may differ from others at the same position. What it kept went on to processes that had not seen the return, and from these only changes were sent. A hub that got it itself sent it as a change within one position, which is passed over.

Why this works: changes say whether they come from such a cache, and those who apply them count as such, so that all parts are sent when they or their followers move. All parts are sent as well where contents change within a position.

--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -151,6 +151,7 @@
             returned_age=-1.0 if recovered_at is None else max(now - recovered_at, 0.0),
             ages=self._get_ages(parts, now),
             at=now,
+            restored=_is_restored(self._cache),
         )
 
     def _get_ages(self, names: Iterable[str], now: float) -> dict[str, float]:
@@ -174,7 +175,10 @@
                 changed[name] = part
         self._parts = parts
         base, self._revision = self._revision, self._cache.revision
-        is_snapshot = get_era(base) != get_era(self._revision)
+        # Contents of one position differ if those of another history came.
+        is_snapshot = get_era(base) != get_era(self._revision) or (
+            0 < base == self._revision
+        )
         if is_snapshot:
             changed = parts
         messages: dict[str, BeliefChange] = {}
@@ -256,6 +260,8 @@
         valid_from = {name: made_at - age for name, age in change.ages.items()}
         if self._codec.has_valid_from:
             self._limit_times(items, valid_from)
+        if change.restored:
+            cache.restored_era = get_era(change.revision)
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
     def _limit_times(
--- a/packages/core/tests/eras_tests.py
+++ b/packages/core/tests/eras_tests.py
@@ -211,6 +211,31 @@
         self.list(hub, 2, 9, 21, "both", "old", "added", "later")
         self.check(entry, 21, "both", "old", "added", "later")
 
+    def test_entry_that_has_what_an_earlier_hub_kept(self):
+        entry, hub = self.make_cache(), self.make_new()
+        stop = self.follow(entry, self.make_kept())
+        self.check(entry, 17, "both", "lost")
+        stop()
+        self.follow(entry, hub)
+        self.list(hub, 2, 4, 21, "both", "old", "later")
+        self.check(entry, 21, "both", "old", "later")
+
+    def test_entry_whose_hub_has_what_an_earlier_hub_kept(self):
+        entry, hub = self.make_new(), self.make_cache()
+        stop = self.follow(hub, self.make_kept())
+        stop()
+        self.follow(entry, hub)
+        self.check(entry, 17, "both", "lost")
+        self.list(hub, 2, 4, 21, "both", "later")
+        self.check(entry, 21, "both", "later")
+
+    def test_entry_whose_hub_follows_one_that_kept_more(self):
+        entry, hub = self.make_new(), self.make_new()
+        self.follow(entry, hub)
+        self.follow(hub, self.make_kept())
+        self.check(entry, 17, "both", "lost")
+        self.assertEqual(entry.restored_era, 2)
+
 
 class FeedTests(unittest.TestCase):
     """A follower of the store takes the first listing of a later era."""
