Forget that a runner was removed once it is listed again

What callers would see: after a return of the store, runners that had been missing once before, as after an outage of the store or an earlier return, get no requests for some seconds though they are alive and listed; if all had been, their services are refused.

Cause: the start times of removed runners were remembered for good, and the first listing of a restored store withholds the runners that are among them.

Evidence: two tests of RunnerTests; a runner that was back before the return, and one that wrote its entry again between two returns, were not in the list after it. A third shows that one that is removed again is still withheld.

Why this works: a runner that is in the list is no longer among the removed ones.

--- a/packages/core/src/marigold/core/platform/followers.py
+++ b/packages/core/src/marigold/core/platform/followers.py
@@ -89,6 +89,8 @@
         super()._apply_listing(listing, confirmed_at)
 
     def _keep_superseded(self, items: dict[str, Runner]) -> Times:
+        for name in self._removed.keys() & items.keys():
+            del self._removed[name]
         for name in self.items.keys() - items.keys():
             self._removed[name] = self.items[name].started_ms
         while len(self._removed) > REMOVED_MAXIMUM:
--- a/packages/core/tests/followers_tests.py
+++ b/packages/core/tests/followers_tests.py
@@ -161,3 +161,25 @@
         self.change(1, 901, i1=None)
         self.list(2, 3, i1=make_runner(started=9))
         self.assertIn("i1", self.follower.items)
+
+    def test_runner_that_was_back_before_the_return(self):
+        self.list(1, 900, i1=make_runner())
+        self.change(1, 901, i1=None)
+        self.change(1, 902, i1=make_runner())
+        self.list(2, 3, i1=make_runner())
+        self.assertIn("i1", self.follower.items)
+
+    def test_runner_that_wrote_again_between_two_returns(self):
+        self.list(1, 900, i1=make_runner())
+        self.list(2, 3)
+        self.change(2, 4, i1=make_runner())
+        self.list(3, 5, i1=make_runner())
+        self.assertIn("i1", self.follower.items)
+
+    def test_runner_that_is_removed_again_after_it_was_back(self):
+        self.list(1, 900, i1=make_runner())
+        self.change(1, 901, i1=None)
+        self.change(1, 902, i1=make_runner())
+        self.change(1, 903, i1=None)
+        self.list(2, 3, i1=make_runner())
+        self.assertEqual(self.follower.items, {})
