Take a hub's services at a companion that has read the store

What callers would see: a companion that read the configuration from the store while it had no hub takes no further one from a hub. If the first one does not have its service's model yet, it waits for the model for good, and its runner gets no weights (VERSION).

Cause: a companion asks its hub for the services only, and these parts join to version 0, which a follower that keeps the newest version rejects for good.

Evidence: ConfigurationTests; after version 17 of the store, a service of the hub's version 18 was not taken.

Why this works: version 0 says that the version is not known, and is not compared. Configurations of entries have all parts.

--- a/packages/core/src/marigold/core/platform/followers.py
+++ b/packages/core/src/marigold/core/platform/followers.py
@@ -42,7 +42,8 @@
     def _keep_superseded(self, items: dict[str, V]) -> Times:
         for name, item in self.items.items():
             newest = items.get(name)
-            if newest is not None and newest.version < item.version:
+            # Version 0 is that of a configuration of which only some parts are known.
+            if newest is not None and 0 < newest.version < item.version:
                 log.event(
                     "item_outdated",
                     feed=self.name,
--- a/packages/core/tests/followers_tests.py
+++ b/packages/core/tests/followers_tests.py
@@ -12,12 +12,15 @@
     RunnerFollower,
     VersionedFollower,
 )
+from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec
 from marigold.core.platform.positions import make_position
+from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.platform.version_follower import VersionFollower
 from marigold.core.schema.generated.deployment import (
     Configuration,
     Member,
     Runner,
+    Service,
     WantedVersion,
 )
 
@@ -62,6 +65,21 @@
         self.list(2, 3)
         self.assertEqual(self.get_version(), 17)
 
+    def test_parts_without_a_version(self):
+        service = Service(name="plain")
+        self.list(1, 900, main=make_configuration(17))
+        subscriber = CacheSubscriber(
+            "configuration", self.follower, ConfigurationCodec(), SERVICE
+        )
+        hub = VersionedFollower(None, 2.0, 1.0, random.Random(1), lambda: self.now)
+        cfg = Configuration(version=18, routes=[], services=[service])
+        hub._apply_listing(Listing({"main": cfg}, make_position(1, 901)), self.now)
+        publisher = Publisher("configuration", hub, ConfigurationCodec())
+        publisher.follow(
+            lambda change: subscriber.apply(change, "hub"), subscriber.make_request()
+        )
+        self.assertEqual(self.follower.items["main"].services, [service])
+
 
 class VersionTests(FollowerTestCase):
     """Wanted versions, superseded ones and their dates do not go back."""
