Tell followers of a return of the store that changes nothing at their hub

What callers would see: an entry that was ahead of its hub as the store came back keeps what the return undid, such as the removal of a runner or an entry, until its hub's next change of that kind.

Cause: a hub published the first listing of a restored store only if its own items changed. Its followers learnt the new position from its ages, and took what they had for confirmed there.

Evidence: a test of ReplicationTests; the follower lacked an item of its hub at the same position.

Why this works: a return is published in any case, as a whole, and before the ages that name it.

--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -102,11 +102,13 @@
             )
             return False
         after = dict(items)
-        if is_restored(self.revision, revision):
+        is_return = is_restored(self.revision, revision)
+        if is_return:
             self._keep_lost(after)
         self._advance(revision)
         times = {**valid_from, **self._keep_superseded(after)}
-        if after != self.items:
+        # Followers that were ahead before a return have other items at its position.
+        if after != self.items or is_return:
             before, self.items = self.items, after
             # Most kinds have no such times, and comparing long lists is expensive.
             if changed_at is not None or times or self.valid_from:
--- a/packages/core/tests/eras_tests.py
+++ b/packages/core/tests/eras_tests.py
@@ -125,6 +125,18 @@
         self.set(hub, 2, 3, a=1, c=1)
         self.assertEqual(self.get_versions(self.cache), {"a": 1, "c": 1})
 
+    def test_follower_that_was_ahead_of_a_hub_that_changes_in_nothing(self):
+        hub = self.make_cache(1, 890, a=1, b=1)
+        self.set(self.cache, 1, 900, a=1)
+        subscriber = CacheSubscriber("versions", self.cache, self.codec)
+        publisher = Publisher("versions", hub, self.codec)
+        publisher.follow(
+            lambda change: subscriber.apply(change, "hub"), subscriber.make_request()
+        )
+        self.set(hub, 2, 3, a=1, b=1)
+        subscriber.apply_age(publisher.get_age(), 50.0)
+        self.assertEqual(self.get_versions(self.cache), {"a": 1, "b": 1})
+
     def test_follower_that_is_an_era_ahead_of_its_hub(self):
         self.set(self.cache, 2, 3, a=1, c=1)
         hub = self.make_cache(1, 900, a=1, b=1)
