List withheld runners again also where the hub changes after a return

What callers would see: after a return of the store whose hub withheld a runner that is alive, and ended within 5 s, the next hub has no such runner until its entry changes, which may be never: it gets no requests.

Cause: only the hub that withheld the runner knew that it was to list all of them again. Its successor goes on from what it was sent.

Evidence: HubChangeTests; a follower that took over from the hub, and one that had started after the return, had no runner 7.5 s later.

Why this works: each process that has state of before the return, of its own or from a hub, lists the runners once when it watches the store later than that; a hub that withheld none need not.

--- a/packages/core/src/marigold/core/platform/feeds.py
+++ b/packages/core/src/marigold/core/platform/feeds.py
@@ -173,6 +173,9 @@
         """List all objects again after some seconds."""
         self._listing_at = self._clock() + seconds
 
+    def _cancel_listing(self) -> None:
+        self._listing_at = math.inf
+
     def _apply_listing(self, listing: Listing[T], confirmed_at: float) -> None:
         changed_at = self._get_earliest_change_time()
         if not self.replace_all(listing.items, listing.revision, SOURCE, changed_at):
--- a/packages/core/src/marigold/core/platform/followers.py
+++ b/packages/core/src/marigold/core/platform/followers.py
@@ -80,14 +80,30 @@
         # Start times of the runners that were removed last, by id.
         self._removed: dict[str, int] = {}
 
+    def mark_restored(self, era: int) -> None:
+        """Record a return of the store, after which runners may be withheld.
+
+        A process that follows a hub lists them again if it becomes the hub.
+        """
+        if era != self.restored_era:
+            self._schedule_listing(REWRITE_S)
+        super().mark_restored(era)
+
     def _apply_listing(self, listing: Listing[Runner], confirmed_at: float) -> None:
-        if is_restored(self.revision, listing.revision):
-            for name, runner in list(listing.items.items()):
-                if self._removed.get(name) == runner.started_ms:
-                    log.event("runner_withheld", runner=name, seconds=REWRITE_S)
-                    del listing.items[name]
-                    self._schedule_listing(REWRITE_S)
+        if not is_restored(self.revision, listing.revision):
+            super()._apply_listing(listing, confirmed_at)
+            return
+        withheld = [
+            name
+            for name, runner in listing.items.items()
+            if self._removed.get(name) == runner.started_ms
+        ]
+        for name in withheld:
+            log.event("runner_withheld", runner=name, seconds=REWRITE_S)
+            del listing.items[name]
         super()._apply_listing(listing, confirmed_at)
+        if not withheld:
+            self._cancel_listing()
 
     def _keep_superseded(self, items: dict[str, Runner]) -> Times:
         for name in self._removed.keys() & items.keys():
--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -31,9 +31,9 @@
 class ObjectCache(Generic[T]):
     """Items by name, as of a position in the history of the store.
 
-    `restored_era` is the last era that began while this cache had contents, 0 if none
-    did. Such a cache may hold items that the restored store has lost. `on_restore` is
-    called when one begins.
+    `restored_era` is the last era that began while this cache, or one that it follows,
+    had contents, 0 if none did. Such a cache may hold items that the restored store has
+    lost. `on_restore` is called when one begins.
 
     `confirmed_at` is the boot time at which the store last confirmed `items`, None
     before its first response. `recovered_at` is the boot time at which the store was
@@ -70,10 +70,14 @@
         self._advance(revision)
         self.confirmed_at = max(self.confirmed_at or 0.0, confirmed_at)
 
+    def mark_restored(self, era: int) -> None:
+        """Record that the items may differ from those of the store of an era."""
+        self.restored_era = era
+
     def _advance(self, revision: int) -> None:
         before, self.revision = self.revision, max(self.revision, revision)
         if is_restored(before, revision):
-            self.restored_era = get_era(revision)
+            self.mark_restored(get_era(revision))
             self.recovered_at = self._clock()
             log.event("store_restored", feed=self.name, era=self.restored_era)
             self.on_restore()
--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -261,7 +261,7 @@
         if self._codec.has_valid_from:
             self._limit_times(items, valid_from)
         if change.restored:
-            cache.restored_era = get_era(change.revision)
+            cache.mark_restored(get_era(change.revision))
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
     def _limit_times(
--- a/packages/core/tests/followers_tests.py
+++ b/packages/core/tests/followers_tests.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
 import unittest
 
-from marigold.core.platform.adapter import Changes, Listing
+from marigold.core.platform.adapter import Changes, Feed, Listing
 from marigold.core.platform.followers import (
     REWRITE_S,
     MemberFollower,
     RunnerFollower,
     VersionedFollower,
 )
-from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec
+from marigold.core.platform.part_codecs import SERVICE, ConfigurationCodec, ItemCodec
 from marigold.core.platform.positions import make_position
 from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.platform.version_follower import VersionFollower
@@ -23,6 +25,7 @@
     Service,
     WantedVersion,
 )
+from marigold.standins.virtual_time import get_time, run_virtual
 
 
 class FollowerTestCase(unittest.TestCase):
@@ -201,3 +204,64 @@
         self.change(1, 903, i1=None)
         self.list(2, 3, i1=make_runner())
         self.assertEqual(self.follower.items, {})
+
+
+class HubChangeTests(FollowerTestCase):
+    """A later hub lists the runners again that its predecessor withheld."""
+
+    cls = RunnerFollower
+
+    async def check(self, is_known_before):
+        feed = ListedFeed({"i1": make_runner()}, make_position(2, 3))
+        later = RunnerFollower(feed, 2.0, 1.0, random.Random(1), get_time)
+        subscriber = CacheSubscriber(
+            "runners", later, ItemCodec(Runner), clock=get_time
+        )
+        publisher = Publisher("runners", self.follower, ItemCodec(Runner))
+
+        def follow():
+            publisher.follow(
+                lambda change: subscriber.apply(change, "hub"),
+                subscriber.make_request(),
+            )
+
+        self.list(1, 900, i1=make_runner())
+        if is_known_before:
+            follow()
+        self.change(1, 901, i1=None)
+        self.list(2, 3, i1=make_runner())
+        if not is_known_before:
+            follow()
+        subscriber.apply_age(publisher.get_age(), get_time())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(later.run(), REWRITE_S / 2)
+        self.assertEqual((later.items, feed.reads), ({}, 0))
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(later.run(), REWRITE_S)
+        self.assertEqual(later.items, {"i1": make_runner()})
+        self.assertEqual(feed.reads, 1)
+
+    def test_entry_that_followed_the_hub_over_the_return(self):
+        run_virtual(self.check(is_known_before=True))
+
+    def test_entry_that_started_after_the_return(self):
+        run_virtual(self.check(is_known_before=False))
+
+
+class ListedFeed(Feed):
+    """Feed of a store that does not change."""
+
+    name = "runners"
+
+    def __init__(self, items, revision):
+        self._items = items
+        self._revision = revision
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        return Listing(dict(self._items), self._revision)
+
+    async def watch(self, revision, wait):
+        await asyncio.sleep(wait)
+        return Changes({}, revision)
