--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -151,6 +151,7 @@
             returned_age=-1.0 if recovered_at is None else max(now - recovered_at, 0.0),
             ages=self._get_ages(parts, now),
             at=now,
+            restored=_is_restored(self._cache),
         )
 
     def _get_ages(self, names: Iterable[str], now: float) -> dict[str, float]:
@@ -174,7 +175,10 @@
                 changed[name] = part
         self._parts = parts
         base, self._revision = self._revision, self._cache.revision
-        is_snapshot = get_era(base) != get_era(self._revision)
+        # Contents of one position differ if those of another history came.
+        is_snapshot = get_era(base) != get_era(self._revision) or (
+            0 < base == self._revision
+        )
         if is_snapshot:
             changed = parts
         messages: dict[str, BeliefChange] = {}
@@ -237,18 +241,17 @@
                 return False
         parts = _decode(change.items, self._codec)
         self._is_synced = True
+        # Later changes are to the hub's parts, also while the hub is behind.
+        known = {} if change.whole else self._parts
+        self._parts = {
+            name: part for name, part in (known | parts).items() if part is not None
+        }
         if is_known and not is_news:
             # The hub is behind this process, or the change is known already.
             return True
         now = self._clock()
         if change.returned_age >= 0:
             cache.recovered_at = now - change.returned_age
-        if change.whole:
-            self._parts = {}
-        self._parts.update(parts)
-        self._parts = {
-            name: part for name, part in self._parts.items() if part is not None
-        }
         items = self._codec.join(self._parts)
         if delay is not None:
             made_at = now - delay
@@ -257,6 +260,8 @@
         valid_from = {name: made_at - age for name, age in change.ages.items()}
         if self._codec.has_valid_from:
             self._limit_times(items, valid_from)
+        if change.restored:
+            cache.mark_restored(get_era(change.revision))
         return cache.replace_all(items, change.revision, source, valid_from=valid_from)
 
     def _limit_times(
