Store a refusal at once that comes during a write to the store

What callers would see: a request that is refused while another refusal is being written is not in the store for up to 30 s; if all entries end meanwhile, runners end under it again.

Cause: the signal of a change was cleared after the calls to the store, those that came during them included, so that they waited for the next removal of expired refusals.

Evidence: test_refusal_during_a_write_is_stored_at_once, on the code before: not stored in 5 s.

Why this works: the signal is cleared before the table is read, so that a change is either in what is read or starts the next round.

--- a/packages/entry/src/marigold/entry/suspicion/persistence.py
+++ b/packages/entry/src/marigold/entry/suspicion/persistence.py
@@ -77,8 +77,9 @@
     async def _run(self) -> None:
         await self._retry(self._load)
         while True:
-            await self._retry(self._synchronise)
+            # Changes during the calls count for the next round.
             self._has_changes.clear()
+            await self._retry(self._synchronise)
             try:
                 async with asyncio.timeout(CLEANUP_INTERVAL_S):
                     await self._has_changes.wait()
--- a/packages/entry/tests/quarantine_store_tests.py
+++ b/packages/entry/tests/quarantine_store_tests.py
@@ -88,3 +88,15 @@
         self.store.sync(True)
         await self.wait_for(lambda: not self.table.is_empty)
         self.assertEqual(self.table.get_verdict("f", 3601.0), "suspect")
+
+    async def test_refusal_during_a_write_is_stored_at_once(self):
+        written = self.registry.put
+
+        async def put(item, is_known):
+            await written(item, is_known)
+            refuse(self.table, "g")
+
+        self.registry.put = put
+        self.store.sync(True)
+        refuse(self.table)
+        await self.wait_for(lambda: "g" in self.registry.items)
