Mend the stored refusals after the store came back from a copy

What callers would see: a request that was refused in the seconds before the return is not in the store any more; if all entries end later, runners end under it again. One that was cleared in those seconds is back, and refused again by an entry that becomes the hub.

Cause: a hub remembers what it has stored and deleted and does not look again, not even when it ends to be a hub and becomes one later.

Why this works: each active hub lists the refusals once a return, writes those that are missing or have fewer crashes and deletes those that it had deleted or stored and that are refused no more. It takes no case into its table, as the copy may be older than what cleared it. What it knows neither as stored nor as deleted is of another cell, whose hub does the same. A return during the listing counts again, and a hub that becomes active starts from what is listed then.

Limits: a process that becomes an active hub after the return, before the one before it has deleted a cleared refusal, still takes it from the store.

--- a/packages/entry/src/marigold/entry/hub/hub.py
+++ b/packages/entry/src/marigold/entry/hub/hub.py
@@ -168,6 +168,7 @@
         self._quarantine = QuarantineStore(
             table, quarantine, partial(suspects.publish, is_own_cell=False)
         )
+        feeds.members.on_restore = self._quarantine.mark_restored
         kinds = feeds.get_kinds()
         self._service = HubService(
             identity.process,
--- a/packages/entry/src/marigold/entry/suspicion/persistence.py
+++ b/packages/entry/src/marigold/entry/suspicion/persistence.py
@@ -52,6 +52,9 @@
         self._walltime = walltime
         # Number of crashes that the store has for each request.
         self._stored: dict[str, int] = {}
+        # Requests that were deleted last.
+        self._deleted: dict[str, None] = {}
+        self._is_restored = False
         self._has_changes = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         table.subscribe(self._on_change)
@@ -69,6 +72,11 @@
         if self._task is not None:
             await cancel_tasks(self._task)
 
+    def mark_restored(self) -> None:
+        """Bring the store up to date again after it came back from a copy."""
+        self._is_restored = True
+        self._has_changes.set()
+
     def _on_change(self, fingerprint: str) -> None:
         verdict = self._table.get_verdict(fingerprint, self._monotonic())
         if verdict == "refused" or fingerprint in self._stored:
@@ -99,10 +107,12 @@
             delay = min(delay * 2, RETRY_MAXIMUM_S)
 
     async def _load(self) -> None:
+        # What was stored while this process was no active hub may be gone.
+        self._is_restored = False
         listing = await self._registry.read(False)
+        self._stored = {item.fingerprint: item.ends for item in listing.items.values()}
         now = self._monotonic()
         for item in listing.items.values():
-            self._stored[item.fingerprint] = item.ends
             seconds = item.until_ms / 1000 - self._walltime()
             if seconds <= 0:
                 continue
@@ -118,7 +128,31 @@
                 self._on_read(item.fingerprint)
         log.event("quarantine_read", count=len(listing.items))
 
+    async def _list_again(self) -> None:
+        """Find out what a restored store has, without taking its cases.
+
+        A case of the copy may have been cleared since. What is known neither as stored
+        nor as deleted is of the hub of another cell, which looks after it.
+        """
+        self._is_restored = False
+        try:
+            listing = await self._registry.read(False)
+        except PlatformError:
+            self._is_restored = True
+            raise
+        now = self._walltime()
+        self._stored = {
+            item.fingerprint: item.ends
+            for item in listing.items.values()
+            if item.fingerprint in self._stored
+            or item.fingerprint in self._deleted
+            or item.until_ms / 1000 <= now
+        }
+        log.event("quarantine_restored", count=len(listing.items))
+
     async def _synchronise(self) -> None:
+        if self._is_restored:
+            await self._list_again()
         now = self._monotonic()
         refused = {
             case.fingerprint: case
@@ -134,6 +168,9 @@
                 # An object that cannot be deleted must not hold up the others.
                 log.event("quarantine_kept", fingerprint=fingerprint, reason=exc)
             del self._stored[fingerprint]
+            self._deleted[fingerprint] = None
+            if len(self._deleted) > OBJECTS_MAXIMUM:
+                del self._deleted[next(iter(self._deleted))]
             log.event("quarantine_deleted", fingerprint=fingerprint)
         for fingerprint, case in refused.items():
             known = self._stored.get(fingerprint, 0)
--- a/packages/entry/tests/quarantine_store_tests.py
+++ b/packages/entry/tests/quarantine_store_tests.py
@@ -14,7 +14,7 @@
 from marigold.entry.suspicion.suspects import REFUSED_S, SuspectTable
 
 
-class QuarantineStoreTests(unittest.IsolatedAsyncioTestCase):
+class QuarantineStoreTestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.now = 0.0
         self.registry = FakeRegistry()
@@ -37,6 +37,8 @@
             while not check():
                 await asyncio.sleep(0.01)
 
+
+class QuarantineStoreTests(QuarantineStoreTestCase):
     async def test_refusal_outlives_all_processes(self):
         self.store.sync(True)
         refuse(self.table)
@@ -100,3 +102,67 @@
         self.store.sync(True)
         refuse(self.table)
         await self.wait_for(lambda: "g" in self.registry.items)
+
+
+class RestoredTests(QuarantineStoreTestCase):
+    """What a return of the store from a copy lost or brought back is mended."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.store.sync(True)
+        refuse(self.table)
+        await self.wait_for(lambda: self.registry.items)
+
+    async def restore(self, **items):
+        """Come back with other items; return the calls of the next moments."""
+        self.registry.items = items
+        self.registry.calls.clear()
+        self.store.mark_restored()
+        await asyncio.sleep(0.1)
+        return self.registry.calls
+
+    async def test_refusal_that_the_copy_lacks(self):
+        stored = dict(self.registry.items)
+        self.assertEqual(await self.restore(), ["read", "put"])
+        self.assertEqual(self.registry.items, stored)
+
+    async def test_refusal_that_the_copy_has_with_fewer_crashes(self):
+        stored = self.registry.items["f"]
+        older = QuarantinedRequest(fingerprint="f", ends=1, runners=[], until_ms=0)
+        self.assertEqual(await self.restore(f=older), ["read", "put"])
+        self.assertEqual(self.registry.items, {"f": stored})
+
+    async def test_copy_that_lacks_nothing(self):
+        self.assertEqual(await self.restore(**self.registry.items), ["read"])
+
+    async def test_cleared_refusal_does_not_come_back(self):
+        stored = dict(self.registry.items)
+        self.table.clear("f")
+        await self.wait_for(lambda: not self.registry.items)
+        self.assertEqual(await self.restore(**stored), ["read", "delete"])
+        self.assertEqual(self.registry.items, {})
+        self.assertEqual(self.table.get_verdict("f", 1.0), "clear")
+
+    async def test_refusal_of_another_hub_is_left_to_it(self):
+        other = QuarantinedRequest(fingerprint="g", ends=3, runners=[], until_ms=10**6)
+        items = self.registry.items | {"g": other}
+        self.assertEqual(await self.restore(**items), ["read"])
+
+    async def test_expired_refusal_is_deleted(self):
+        self.now = 20.0
+        expired = QuarantinedRequest(fingerprint="g", ends=3, runners=[], until_ms=1)
+        items = self.registry.items | {"g": expired}
+        self.assertEqual(await self.restore(**items), ["read", "delete"])
+
+    async def test_store_that_is_away_again(self):
+        self.enterContext(mock.patch.object(persistence, "RETRY_S", 0.2))
+        self.registry.is_unreachable = True
+        self.assertEqual(await self.restore(), ["read"])
+        self.registry.is_unreachable = False
+        await self.wait_for(lambda: self.registry.items)
+
+    async def test_hub_that_is_active_again_lists_what_is_there(self):
+        self.store.sync(False)
+        self.assertEqual(await self.restore(), [])
+        self.store.sync(True)
+        await self.wait_for(lambda: self.registry.items)
