Register an entry once more after the store came back from a copy

What callers would see: an entry that started shortly before the return is unknown to each one that starts after it; these choose another hub, and two hubs place requests at one runner.

Cause: an entry registers when it is no longer listed. Its cache keeps the entries that a restored store lacks, as they are to register again, and so never shows that its own is gone.

Evidence: test_entries_that_the_copy_lacks_register_again, three entries and a copy without them: none in the store 4.5 s after the return. Four of the six cases of RegistrationTests failed too; the other two, an entry that could not join and one that is no longer listed, passed.

Why this works: an entry registers in each era later than that in which it last did. That era is taken from the listing or the cache before the registration, so that it is never too late. An entry that is still listed replaces its registration, which is one call if the copy has it and two if not, and changes nothing in the former case. The calls of all entries spread over the usual 1.5 to 4.5 s of the check.

--- a/packages/entry/src/marigold/entry/hub/membership.py
+++ b/packages/entry/src/marigold/entry/hub/membership.py
@@ -10,6 +10,7 @@
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import Registry
 from marigold.core.platform.object_cache import ObjectCache
+from marigold.core.platform.positions import get_era
 from marigold.core.schema.generated.deployment import Member
 from marigold.entry.hub.cells import CellMap
 
@@ -81,12 +82,15 @@
 ) -> None:
     """Register this entry in the store, read the other entries, and stay registered.
 
-    After a few failures the entry continues alone and learns of the others later.
+    After a few failures the entry continues alone and learns of the others later. A
+    store that comes back from a copy may have lost the registration, which the cache
+    does not show: the entry registers once more in each era.
     """
+    era = 0
     for attempt in range(1, JOIN_ATTEMPTS + 1):
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S + BOOTSTRAP_S):
-                await _join_once(membership, cache, registry, is_bootstrap)
+                era = await _join_once(membership, cache, registry, is_bootstrap)
                 break
         except (PlatformError, TimeoutError) as exc:
             log.event("roster_unreadable", reason=repr(exc), attempt=attempt)
@@ -94,10 +98,13 @@
     membership.mark_joined()
     while True:
         await asyncio.sleep(CHECK_INTERVAL_S * (0.5 + rng.random()))
-        if cache.confirmed_at is None or membership.own.process in cache.items:
+        is_listed = membership.own.process in cache.items
+        current = get_era(cache.revision)
+        if cache.confirmed_at is None or (is_listed and current <= era):
             continue
         try:
-            await registry.put(membership.own, False)
+            await registry.put(membership.own, is_listed)
+            era = current
         except PlatformError as exc:
             log.event("registration_failed", reason=exc)
 
@@ -107,7 +114,8 @@
     cache: ObjectCache[Member],
     registry: Registry[Member],
     is_bootstrap: bool,
-) -> None:
+) -> int:
+    """Join, and return the last era in which this entry is certainly registered."""
     own = membership.own
     if is_bootstrap:
         # No entry is listed yet. After the wait, even a stale listing is complete;
@@ -122,3 +130,6 @@
         # Revision 0: any state from a hub or a watch of the store is newer.
         cache.replace_all({**listing.items, own.process: own}, 0, "store")
     log.event("roster_joined", members=len(listing.items), bootstrap=is_bootstrap)
+    if is_bootstrap and known is None:
+        return 0
+    return get_era(listing.revision)
