Leave a hub that is an era behind

What callers would see: at an entry that has learned of a return of the store and then follows a hub that has not, no change of the configuration is in force in time, and keys that were removed still work, for as long as it stays: until that hub is stale if it cannot reach the store, and for good if it is a build that knows no eras (CONFIG, DENIED).

Cause: a hub counts as fresh by the age of its configuration alone. What it sends is of an earlier position than what the entry knows, and is rightly ignored.

Evidence: two cases of hub_client_tests. On the code before, an entry of era 2 was still with h1 of era 1 after 3.6 s, with h2 and h3 in era 2, and followed one of three hubs without eras rather than the store. Two more passed before and after: a hub is kept if no other entry is ahead of it, and an entry that is its own hub stays so.

Why this works: the age of a configuration of an earlier era than that of this process's own cache does not count, so that such a hub is stale at once to one that opens it, and after the usual 2.6 s to one that follows it. An entry that is its own hub replicates nothing and compares nothing.

--- a/packages/core/src/marigold/core/platform/replication.py
+++ b/packages/core/src/marigold/core/platform/replication.py
@@ -271,6 +271,10 @@
             if earliest is not None:
                 valid_from[name] = max(valid_from.get(name, earliest), earliest)
 
+    def is_ahead(self, age: BeliefAge) -> bool:
+        """Return whether the hub is in an earlier era, so that its state is ignored."""
+        return get_era(age.revision) < get_era(self._cache.revision)
+
     def apply_age(self, age: BeliefAge, sent: float) -> None:
         """Apply the age that the hub reports for the kind, as of `sent` or later."""
         if self._is_synced and age.revision >= self._cache.revision:
@@ -331,6 +335,11 @@
             return None
         return max(self._clock() + self._clock_offset - change.at, 0.0)
 
+    def is_ahead(self, age: BeliefAge) -> bool:
+        """Return whether the hub's state of a kind is of an earlier era and ignored."""
+        subscriber = self._by_kind.get(age.kind)
+        return subscriber is not None and subscriber.is_ahead(age)
+
     def apply_ages(self, message: Ages) -> None:
         """Apply the ages that a hub reports; `sent` is 0 in an unsolicited report."""
         if not message.sent:
--- a/packages/entry/src/marigold/entry/hub/session.py
+++ b/packages/entry/src/marigold/entry/hub/session.py
@@ -88,7 +88,11 @@
         return is_listening and not self.is_leaving and not self.is_silent()
 
     def get_age(self) -> float:
-        """Return the seconds since the store confirmed the hub's configuration."""
+        """Return the seconds since the store confirmed the hub's configuration.
+
+        A hub of an earlier era than this process gets no younger, as what it sends is
+        ignored.
+        """
         if self._confirmed_at is None:
             return math.inf
         return get_boottime() - self._confirmed_at
@@ -170,7 +174,7 @@
             return
         self._requested_at = None
         for age in message.ages:
-            if age.kind == CONFIGURATION:
+            if age.kind == CONFIGURATION and not self._subscribers.is_ahead(age):
                 self._confirmed_at = message.sent - age.age
         # Known before the first state comes, which may be delayed like any change.
         self._subscribers.record_clock(message)
--- a/packages/entry/tests/hub_client_tests.py
+++ b/packages/entry/tests/hub_client_tests.py
@@ -9,8 +9,11 @@
 from marigold.core.exceptions import LinkError
 from marigold.core.links.channels import LocalChannel
 from marigold.core.platform.object_cache import ObjectCache
+from marigold.core.platform.part_codecs import ConfigurationCodec
+from marigold.core.platform.positions import make_position
+from marigold.core.platform.replication import CacheSubscriber
 from marigold.core.schema.generated.messages import Ages, AskAges, BeliefAge
-from marigold.entry.hub.client import STALE_AGE_S, HubClient
+from marigold.entry.hub.client import AGES_INTERVAL_S, STALE_AGE_S, HubClient
 from marigold.entry.hub.membership import CellMembership
 from marigold.entry.hub.session import CONFIGURATION
 from marigold.standins.virtual_time import get_time, run_virtual
@@ -30,6 +33,7 @@
         self.is_leaving = False
         self.is_store_lost = False
         self.confirmed_at = None
+        self.revision = 1
         self.channels = []
 
     @property
@@ -50,7 +54,9 @@
     async def serve(self, channel):
         async for message in channel:
             if isinstance(message, AskAges) and not self.is_silent:
-                age = BeliefAge(kind=CONFIGURATION, revision=1, age=self.age)
+                age = BeliefAge(
+                    kind=CONFIGURATION, revision=self.revision, age=self.age
+                )
                 channel.put(
                     Ages(
                         sent=message.sent,
@@ -94,12 +100,13 @@
         self.membership = CellMembership(members[names.index("own")], cache, REGIONS)
         self.watching = []
         self.store_age = 0.0
+        self.cache = ObjectCache(CONFIGURATION)
         self.client = HubClient(
             self.membership,
             self.dial,
             lambda: self.hubs["own"].open("own"),
             self.watching.append,
-            [],
+            [CacheSubscriber(CONFIGURATION, self.cache, ConfigurationCodec())],
             lambda: self.store_age,
             is_joining=is_joining,
         )
@@ -107,6 +114,12 @@
     async def dial(self, address):
         return self.hubs[address.split(":")[0]].open("own")
 
+    def begin_era(self, *names):
+        """Let this entry and the named ones learn of a restored store."""
+        self.cache.confirm(make_position(2, 5), get_time())
+        for name in names:
+            self.hubs[name].revision = make_position(2, 5)
+
     @property
     def hub(self):
         session = self.client.session
@@ -323,3 +336,47 @@
             self.assertIs(cluster.client.session, session)
 
         self.run_script(script, "own", "h2", "h3")
+
+    def test_entry_leaves_a_hub_that_is_an_era_behind(self):
+        """It ignores the changes of such a hub, which may be cut off from the store."""
+
+        async def script(cluster):
+            cluster.begin_era("h2", "h3", "own")
+            await asyncio.sleep(STALE_AGE_S + AGES_INTERVAL_S)
+            self.assertEqual(cluster.hub, "h2")
+            await asyncio.sleep(10.0)
+            self.assertEqual(cluster.hub, "h2")
+            cluster.begin_era("h1")
+            await asyncio.sleep(6.0)
+            self.assertEqual(cluster.hub, "h1")
+
+        self.run_script(script)
+
+    def test_entry_follows_no_hubs_that_know_no_eras(self):
+        async def script(cluster):
+            cluster.begin_era("own")
+            cluster.hubs["h1"].kill()
+            await asyncio.sleep(1.0)
+            self.assertEqual(cluster.hub, "own")
+            await asyncio.sleep(10.0)
+            self.assertEqual(cluster.hub, "own")
+
+        self.run_script(script)
+
+    def test_hub_that_is_an_era_behind_is_kept_when_no_other_is_ahead(self):
+        async def script(cluster):
+            cluster.store_age = None
+            cluster.begin_era()
+            await asyncio.sleep(10.0)
+            self.assertEqual(cluster.hub, "h1")
+
+        self.run_script(script)
+
+    def test_entry_that_is_its_own_hub_stays_so_in_a_new_era(self):
+        async def script(cluster):
+            session = cluster.client.session
+            cluster.begin_era()
+            await asyncio.sleep(10.0)
+            self.assertIs(cluster.client.session, session)
+
+        self.run_script(script, "own", "h2", "h3")
