Take no body for framed whose last coding is not chunks

Callers of the relay got a 200 with an empty or short body and a Content-Length when a runner reset an answer with `Transfer-Encoding: chunked, identity`, `chunked;q=1`, `xchunked`, or `chunked` with another coding in a second line. The gate of the product's own interface ended such an answer as "done" even where the back end had only closed it.

Cause: both looked for the letters "chunked" anywhere in the first Transfer-Encoding line. The HTTP library reads a body by chunks only if `chunked` is the last coding, and any other one until the connection ends. So the end of the connection passed as the stated end of the body.

One function now decides for both, by the last coding of all lines, as the library does (RFC 9112, 6.3). The relay then looks at how the connection ended, as with other bodies that have no length, and the gate reports "cut".

--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientError, ClientResponse, TCPConnector
+from aiohttp import ClientError, ClientResponse, TCPConnector, hdrs
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
@@ -25,6 +25,7 @@
 ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([0-9]{1,5})")
 PORT_MAXIMUM = 65535
 LOGGED_CHARACTERS = 80
+BODILESS_STATUSES = frozenset({204, 304})
 # Exceptions of a call that got no complete response. The library raises a
 # `RuntimeError` for a body that is not encoded as its headers state, and a `ValueError`
 # for a host name that cannot be looked up.
@@ -89,6 +90,20 @@
     )
 
 
+def is_framed(resp: ClientResponse, method: str) -> bool:
+    """Return whether an answer states where its body ends, by length or by chunks.
+
+    Any other body ends with its connection, even if one of its transfer codings is
+    `chunked`: only the last one delimits it (RFC 9112, section 6.3).
+    """
+    if method == hdrs.METH_HEAD or resp.status in BODILESS_STATUSES:
+        return True
+    codings = ",".join(resp.headers.getall(hdrs.TRANSFER_ENCODING, []))
+    if codings:
+        return codings.rpartition(",")[2].strip().lower() == "chunked"
+    return hdrs.CONTENT_LENGTH in resp.headers
+
+
 async def read_body(resp: ClientResponse, limit: int) -> bytes:
     """Return the body, or a beginning of more than `limit` bytes of a longer one."""
     parts = []
--- a/packages/entry/src/marigold/entry/relay/forwarding.py
+++ b/packages/entry/src/marigold/entry/relay/forwarding.py
@@ -18,7 +18,12 @@
 from aiohttp.connector import Connection
 from yarl import URL
 
-from marigold.core.connections import CALL_ERRORS, ReusableProtocol, make_connector
+from marigold.core.connections import (
+    CALL_ERRORS,
+    ReusableProtocol,
+    is_framed,
+    make_connector,
+)
 from marigold.core.fingerprints import compute_fingerprint
 from marigold.core.platform.adapter import HeaderCodec, ResponseHead, RunnerRequestHead
 from marigold.entry.relay.exceptions import (
@@ -40,7 +45,6 @@
 STATUS_MISDIRECTED = 421
 STATUS_FAILURE = 400
 STATUS_SUCCESS = 200
-BODILESS_STATUSES = frozenset({204, 304})
 READ_BYTES = 65536
 
 
@@ -134,13 +138,7 @@
         self.head = head
         self.status = resp.status
         self.headers = resp.headers
-        coding = resp.headers.get("Transfer-Encoding", "").lower()
-        self.is_framed = (
-            "Content-Length" in resp.headers
-            or "chunked" in coding
-            or resp.method == "HEAD"
-            or resp.status in BODILESS_STATUSES
-        )
+        self.is_framed = is_framed(resp, resp.method)
 
     async def read(self) -> bytes:
         """Return the next bytes, or empty bytes at the end.
--- a/packages/target/src/marigold/target/gate/bodies.py
+++ b/packages/target/src/marigold/target/gate/bodies.py
@@ -10,13 +10,13 @@
 
 from aiohttp import ClientResponse, hdrs
 
+from marigold.core.connections import is_framed
 from marigold.target.gate.drivers import BackEndError
 
 EVENT_STREAM_TYPE = "text/event-stream"
 EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 LAST_EVENT = b"data: [DONE]"
 MAXIMUM_EVENT_BYTES = 1024 * 1024
-EMPTY_STATUSES = frozenset({204, 304})
 
 
 class AnswerCutError(BackEndError):
@@ -28,13 +28,6 @@
     return resp.headers.get(hdrs.CONTENT_TYPE, "").startswith(EVENT_STREAM_TYPE)
 
 
-def _is_framed(resp: ClientResponse, method: str) -> bool:
-    if method == hdrs.METH_HEAD or resp.status in EMPTY_STATUSES:
-        return True
-    encoding = resp.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
-    return hdrs.CONTENT_LENGTH in resp.headers or "chunked" in encoding
-
-
 async def read_body(resp: ClientResponse, method: str) -> AsyncIterator[bytes]:
     """Yield a body as it arrives; raise `AnswerCutError`.
 
@@ -43,7 +36,7 @@
     """
     while data := await resp.content.readany():
         yield data
-    if not _is_framed(resp, method):
+    if not is_framed(resp, method):
         raise AnswerCutError("the answer has neither length nor chunks")
 
 
--- a/packages/target/tests/drivers_tests.py
+++ b/packages/target/tests/drivers_tests.py
@@ -108,6 +108,11 @@
             "length": TEXT + b"Content-Length: 9\r\n\r\nok",
             "chunks": TEXT + b"Transfer-Encoding: chunked\r\n\r\n" + make_part(b"ok"),
             "unframed": TEXT + b"\r\nok",
+            "other coding": TEXT + b"Transfer-Encoding: chunked;q=1\r\n\r\nok",
+            "coding after chunks": TEXT
+            + b"Transfer-Encoding: chunked, identity\r\n\r\nok",
+            "coding after chunks, two lines": TEXT
+            + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\nok",
         }
         for name, answer in cases.items():
             with self.subTest(name):
