Take no value for whole that ends with its connection

When the object API stopped after the head of an answer without a length and closed, the entry that collects audit heads took the empty body for the stored value: it wrote its own heads over those of the whole data centre, with the version of the head that it had read. Leases, lists and claims got part of a value, and a cut listing raised the JSON parser's error, not a `PlatformError`.

Cause: `ObjectClient` took whatever came before the connection ended, while a value may be any bytes, so nothing in it tells that a part is missing.

Writes are not affected: their status says all.

--- a/packages/core/src/marigold/core/platform/objects.py
+++ b/packages/core/src/marigold/core/platform/objects.py
@@ -13,7 +13,7 @@
 
 from aiohttp import ClientResponse, ClientSession, ClientTimeout
 
-from marigold.core.connections import CALL_ERRORS
+from marigold.core.connections import CALL_ERRORS, is_framed
 from marigold.core.exceptions import (
     ObjectConflictError,
     ObjectNotFoundError,
@@ -68,6 +68,13 @@
             async with self._session.request(
                 method, url, timeout=limit, **options
             ) as resp:
+                # A value that ends with its connection may be part of one.
+                if (
+                    method == "GET"
+                    and resp.status < 300
+                    and not is_framed(resp, method)
+                ):
+                    raise PlatformUnreachableError(f"{name}: no length and no chunks")
                 return resp.status, _get_version(resp), await resp.read()
         except CALL_ERRORS as exc:
             raise PlatformUnreachableError(f"{method} {name}: {exc!r}") from exc
--- a/packages/entry/tests/audit_heads_tests.py
+++ b/packages/entry/tests/audit_heads_tests.py
@@ -1,13 +1,17 @@
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
 from types import SimpleNamespace
 
+from aiohttp import ClientSession
+
 from marigold.core.exceptions import ObjectNotFoundError, PlatformUnreachableError
 from marigold.core.links.identity import Identity
-from marigold.core.platform.objects import StoredObject
+from marigold.core.platform.objects import ObjectClient, StoredObject
 from marigold.core.schema.generated.messages import Heartbeat
+from marigold.core.schema.generated.settings import Platform
 from marigold.entry.audit.chain import AuditChain
 from marigold.entry.audit.heads import WRITE_INTERVAL_S, ChainHeadCollector
 
@@ -87,3 +91,28 @@
         self.objects.is_down = False
         await self.collector.renew_and_write(101.0)
         self.assertEqual(self.get_rows(), {"e2": 3})
+
+
+class BrokenReadTests(unittest.IsolatedAsyncioTestCase):
+    async def test_heads_are_kept_if_their_read_stops_after_its_head(self):
+        written = []
+
+        async def serve(reader, writer):
+            head = await reader.readuntil(b"\r\n\r\n")
+            if head.startswith(b"PUT"):
+                written.append(head)
+            writer.write(b'HTTP/1.1 200 OK\r\nETag: "5"\r\n\r\n')
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        cfg = Platform(url=f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        identity = Identity("e1", "entry", "gyor-a", 7)
+        async with ClientSession() as session:
+            objects = ObjectClient(session, cfg)
+            collector = ChainHeadCollector(
+                identity, AuditChain("e1", 7), objects, FakeLeaseClient(), 6.0
+            )
+            with self.assertRaises(PlatformUnreachableError):
+                await collector.write_heads()
+        self.assertEqual(written, [])
