Refuse a request whose body is whole late in a stop

Seen by callers: a request whose head came up to 3 s after SIGTERM and whose body was whole later was passed on, up to 4.4 s after the signal with 0.1 s left to the runner. What isn't done by then ends with 504 or a reset, also for requests that may not be repeated.

Cause: the entry checked that it still takes requests only before it read the body.

The check is repeated once the body is whole, when no runner has got the request, so that 503 is true.

--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -143,14 +143,15 @@
         arrived_at: float,
     ) -> tuple[RequestContext, CallerRequest]:
         """Check a request and read all of it."""
-        if self.is_closed:
-            raise NotServedError("this entry is stopping", STALE_RETRY_S)
+        self._require_open()
         ctx = self._make_context(http, head, catalogue, arrived_at)
         try:
             async with self._server.limit_time():
                 body = await _read_body(http, catalogue)
         except TimeoutError as exc:
             raise NotServedError("this entry is stopping", STALE_RETRY_S) from exc
+        # A body that took its time may leave too little of it to a runner.
+        self._require_open()
         req = CallerRequest(
             http.method,
             http.raw_path,
@@ -163,6 +164,10 @@
         )
         return ctx, req
 
+    def _require_open(self) -> None:
+        if self.is_closed:
+            raise NotServedError("this entry is stopping", STALE_RETRY_S)
+
     async def _get_catalogue(self, arrived_at: float) -> Catalogue:
         """Return the current catalogue; wait for the first one after the start.
 
