Answer calls that exceed an entry's stop timeout

Seen by callers: in a planned stop of an entry of the product's own interface, a call that still ran when `stop_timeout` was over lost its connection without an answer, among them calls that may run only once.

Cause: the entry waited for running calls up to the timeout, and then cancelled their handlers as it closed the server.

When the timeout is over, each call is ended through a timer of its own, and up to 1 s is left for the answers: 504 `timeout` once the call was dispatched, 503 `stopping` while its body is still arriving, an error event within a stream, whose attempt is cancelled. A call that no target had got counts as dispatched, so that it gets 504 though 503 would be true.

This isn't the dropped booking of `test_planned_stops`, whose calls end far sooner than 30 s.

--- a/packages/entry/src/marigold/entry/api/callers.py
+++ b/packages/entry/src/marigold/entry/api/callers.py
@@ -15,12 +15,14 @@
     make_error_event,
     make_error_response,
 )
+from marigold.entry.api.stopping import StopLimit
 from marigold.entry.claims.dispatcher import IdempotentDispatcher
 from marigold.entry.exceptions import (
     AnswerError,
     MalformedRequestError,
     NotAllowedError,
     StoppingError,
+    TimeoutPassedError,
     TooLargeError,
     UnauthorizedError,
     UnreachableError,
@@ -47,6 +49,14 @@
     return header[len(BEARER) :].strip()
 
 
+def _make_refusal() -> StoppingError:
+    return StoppingError("this entry is stopping", RETRY_AFTER_S)
+
+
+def _make_end() -> TimeoutPassedError:
+    return TimeoutPassedError("this entry stopped before the answer was whole")
+
+
 def _matches_pattern(path: str, pattern: str) -> bool:
     if pattern.endswith("*"):
         return path.startswith(pattern[:-1])
@@ -87,9 +97,14 @@
         self._metrics = metrics
         self._id_prefix = id_prefix
         self._request_count = 0
+        self._limit = StopLimit()
         self.running = 0
         self.is_stopping = False
 
+    def end_running(self) -> None:
+        """Answer all running requests with an error, as the stop is over."""
+        self._limit.end()
+
     def add_routes(self, app: web.Application) -> None:
         """Register the routes for callers."""
         app.router.add_post(CHAT_PATH, self.complete_chat)
@@ -161,7 +176,7 @@
 
     def _authenticate(self, http_req: web.Request) -> CustomerPlan:
         if self.is_stopping:
-            raise StoppingError("this entry is stopping", RETRY_AFTER_S)
+            raise _make_refusal()
         lists = self._follower.current
         if lists.generation == 0:
             raise UnreachableError("this entry has no lists yet", RETRY_AFTER_S)
@@ -172,7 +187,8 @@
 
     async def _read_body(self, http_req: web.Request) -> bytes:
         try:
-            return await http_req.read()
+            async with self._limit.limit(_make_refusal()):
+                return await http_req.read()
         except web.HTTPRequestEntityTooLarge as exc:
             limit = self._cfg.limits.body_bytes
             raise TooLargeError(f"the body exceeds {limit} bytes") from exc
@@ -238,7 +254,8 @@
         self, http_req: web.Request, req: Request
     ) -> web.StreamResponse:
         try:
-            answer = await self._dispatcher.run(req)
+            async with self._limit.limit(_make_end()):
+                answer = await self._dispatcher.run(req)
             if isinstance(answer, Answer):
                 resp = self._make_response(req, answer)
             else:
@@ -262,11 +279,15 @@
         try:
             await resp.prepare(http_req)
             last_part_at = time.monotonic()
-            async for part in answer:
-                await resp.write(part)
-                now = time.monotonic()
-                token_gap.record(now - last_part_at, customer)
-                last_part_at = now
+            async with self._limit.limit(_make_end()):
+                async for part in answer:
+                    await resp.write(part)
+                    now = time.monotonic()
+                    token_gap.record(now - last_part_at, customer)
+                    last_part_at = now
+        except TimeoutPassedError as exc:
+            await answer.cancel()
+            await resp.write(make_error_event(exc, req.id))
         except AnswerError as exc:
             log.event("stream_failed", request=req.id, reason=exc)
             await resp.write(make_error_event(exc, req.id))
--- a/packages/entry/src/marigold/entry/process.py
+++ b/packages/entry/src/marigold/entry/process.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from typing import Any
 
 from aiohttp import ClientSession, TCPConnector
@@ -58,6 +58,8 @@
 log = get_logger(__name__)
 
 STOP_POLL_INTERVAL_S = 0.02
+# Seconds for the error responses to requests that exceed the stop timeout.
+LAST_ANSWERS_S = 1.0
 # The sweep may pause for minutes, so its lease can be long. A long lease is read less
 # often.
 SWEEP_LEASE_RATIO = 100
@@ -311,11 +313,16 @@
         self._caller_api.is_stopping = True
         log.event("leaving", running=self._caller_api.running)
         try:
-            async with asyncio.timeout(self._cfg.stop_timeout):
-                while (
-                    self._caller_api.running
-                    or self._idempotent_dispatcher.pending_writes
-                ):
-                    await asyncio.sleep(STOP_POLL_INTERVAL_S)
+            await self._wait_drained(self._cfg.stop_timeout)
         except TimeoutError:
             log.event("stop_timeout_passed", running=self._caller_api.running)
+            self._caller_api.end_running()
+            with suppress(TimeoutError):
+                await self._wait_drained(LAST_ANSWERS_S)
+
+    async def _wait_drained(self, seconds: float) -> None:
+        async with asyncio.timeout(seconds):
+            while (
+                self._caller_api.running or self._idempotent_dispatcher.pending_writes
+            ):
+                await asyncio.sleep(STOP_POLL_INTERVAL_S)
--- a/packages/entry/tests/callers_stop_tests.py
+++ b/packages/entry/tests/callers_stop_tests.py
@@ -145,3 +145,70 @@
         self.assertEqual(await reader.read(), b"")
         await server
         writer.close()
+
+
+class EndlessStream:
+    def __init__(self):
+        self.head = Answer(200, {"Content-Type": "text/event-stream"}, b"")
+        self.is_cancelled = False
+
+    async def __aiter__(self):
+        yield b"data: 1\n\n"
+        await asyncio.Event().wait()
+
+    async def cancel(self):
+        self.is_cancelled = True
+
+
+class EndlessDispatcher(FakeDispatcher):
+    """Dispatcher that gives the answer `stream`, or none without one."""
+
+    def __init__(self, stream=None):
+        self.stream = stream
+
+    async def run(self, req):
+        if self.stream is None:
+            await asyncio.Event().wait()
+        return self.stream
+
+
+class StopLimitTests(unittest.IsolatedAsyncioTestCase):
+    """Requests that still run when the time of a stop is over."""
+
+    async def send(self, dispatcher, request=REQUEST, end=b"}}"):
+        """Return the answer to a request that runs as the stop is over."""
+        api = make_api(dispatcher)
+        app = web.Application()
+        api.add_routes(app)
+        async with TestServer(app) as server:
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            try:
+                writer.write(request)
+                async with asyncio.timeout(5):
+                    while not api.running:
+                        await asyncio.sleep(0.01)
+                    await asyncio.sleep(0.1)
+                    api.is_stopping = True
+                    api.end_running()
+                    return await reader.readuntil(end)
+            finally:
+                writer.close()
+
+    async def test_request_that_may_have_run(self):
+        answer = await self.send(EndlessDispatcher())
+        self.assertIn(b" 504 ", answer)
+        self.assertIn(b'"executed": "unknown"', answer)
+
+    async def test_request_whose_body_is_not_whole(self):
+        request = REQUEST.replace(b"Length: 0", b"Length: 5") + b"part"
+        answer = await self.send(EndlessDispatcher(), request)
+        self.assertIn(b" 503 ", answer)
+        self.assertIn(b'"executed": "no"', answer)
+
+    async def test_stream_ends_with_an_error_event(self):
+        stream = EndlessStream()
+        answer = await self.send(EndlessDispatcher(stream), end=b"0\r\n\r\n")
+        self.assertIn(b" 200 ", answer)
+        self.assertIn(b"data: 1\n\n", answer)
+        self.assertIn(b"event: error", answer)
+        self.assertTrue(stream.is_cancelled)
--- a/tests/stops_tests.py
+++ b/tests/stops_tests.py
@@ -46,3 +46,20 @@
         entry.child.send_signal(signal.SIGTERM)
         self.assertEqual(await entry.child.wait(), EXIT_STOPPED_TWICE)
         await asyncio.gather(call, return_exceptions=True)
+
+
+class EntryStopTimeoutTests(FleetTestCase):
+    topology = StopTimeoutTests.topology
+    settings = {"entry": {"stop_timeout": 1.0}}
+
+    async def test_call_that_exceeds_the_stop_timeout_is_answered(self):
+        target = self.fleet.targets[0]
+        await self.fleet.set_faults(target.back_end_url, delay=600.0)
+        entry = self.fleet.entries[0]
+        call = asyncio.create_task(self.call(entry, "/services/booking/new", {}))
+        while "event=attempt_started" not in target.read_log():
+            await asyncio.sleep(0.01)
+        self.assertEqual(await entry.child.stop(), 0)
+        status, text = await call
+        error = json.loads(text)["error"]
+        self.assertEqual((status, error["executed"]), (504, "unknown"))
