--- a/packages/core/src/marigold/core/platform/positions.py
+++ b/packages/core/src/marigold/core/platform/positions.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 REVISION_BITS = 40
+REVISION_MAXIMUM = (1 << REVISION_BITS) - 1
 
 
 def make_position(era: int, revision: int) -> int:
@@ -26,7 +27,7 @@
 
 def get_revision(position: int) -> int:
     """Return the revision of a position within its era."""
-    return position & ((1 << REVISION_BITS) - 1)
+    return position & REVISION_MAXIMUM
 
 
 def is_restored(before: int, after: int) -> bool:
--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -32,6 +32,8 @@
 from marigold.entry.relay.watchdog import AttemptWatchdog
 from marigold.entry.suspicion.admission import Trial
 
+T = TypeVar("T")
+
 # Added to the priority value of requests that have missed their latency target, and the
 # largest priority value.
 LATE_PRIORITY_INCREMENT = 4
@@ -66,9 +68,6 @@
     )
 
 
-T = TypeVar("T")
-
-
 def record_failed_attempt(
     view: RunnerView, exc: RunnerError, outcome: AttemptOutcome, now: float
 ) -> None:
