Show an entry that many bodies of the largest size at once fill up

Found by reading how the body of a request is received: whole, into memory, with no bound on all bodies together.

Shown with one entry process, 40 consumers with small payments on kept connections, and a burst of 60 in place of 24 requests with bodies of the configured maximum. The stand-in of the platform kills the entry at 300 MB.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
