--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,14 +1,15 @@
-"""Pieces that turn bad while a slow runner's pieces are checked are loaded.
+"""A companion that was paused orders a load by a check that is out of date.
 
 One entry, and one companion beside a model runner. Version 2 of the weights is named.
 The companion fetches and stages its pieces, reads all of them once more, and then
-orders the runner to load. While it reads, some pieces turn bad, also one that it has
-read.
+orders the runner to load. While it reads, it stands still for 4 s, and meanwhile some
+pieces turn bad, also ones that it has read.
 """
 
 import asyncio
 import hashlib
 import json
+import signal
 import sys
 import time
 import tomllib
@@ -38,14 +39,16 @@
 CHUNK_BYTES = 24576
 LAYERS = 16
 ORIGIN_PIECE_S = 0.027
-# Seconds that the runner takes for a call to its staged pieces, and how many times as
-# long it takes when it has turned slow.
-STAGE_CALL_S = 0.0125
-SLOW_FACTOR = 4.0
+# Seconds that the runner takes for a call to its staged pieces.
+STAGE_CALL_S = 0.005
+# The freeze begins this long after the last reading of all pieces, which takes half a
+# second or more.
+FREEZE_AFTER_S = 0.2
+FREEZE_S = 4.0
 LOAD_S = 0.3
-# One piece in 16 turns bad, this long after the last reading of all pieces has begun.
+# One piece in 16 turns bad, this long after the freeze has begun.
 ROT_STEP = 16
-ROT_AFTER_S = 0.5
+ROT_AFTER_S = 0.3
 # A piece that turned bad later than this before it was taken is excused.
 EXCUSED_S = 3.0
 SETTLED_S = 8.0
@@ -114,7 +117,7 @@
         self._spoilt_at = {}
         self._is_last_reading = False
         self._born = int(time.time() * 1000)
-        self._call_s = STAGE_CALL_S * (SLOW_FACTOR if d.has_trouble else 1.0)
+        self.on_last_reading = lambda: None
         self.version = 1
         # Pieces that the loaded version was loaded with though they were bad for long.
         self.bad_pieces = []
@@ -141,7 +144,7 @@
         }
         self._d.store.put("servers", "i-1", entry | self._describe())
 
-    def _rot(self):
+    def rot(self):
         now = time.monotonic()
         for index in range(0, CHUNKS, ROT_STEP):
             self._staged[index] = b"\0" + self._staged[index][1:]
@@ -156,11 +159,11 @@
             index = int(query["SampleCount"])
             self._watch_reading(index)
             data = self._staged[index]
-            await asyncio.sleep(self._call_s)
+            await asyncio.sleep(STAGE_CALL_S)
             return 200, "", data
         if path.startswith("/v1/stage-put/"):
             index = int(query["SampleCount"])
-            await asyncio.sleep(self._call_s)
+            await asyncio.sleep(STAGE_CALL_S)
             self._staged[index] = body
             if self._spoilt_at.pop(index, None):
                 self._d.record.write(f"piece {index} is staged again")
@@ -181,13 +184,12 @@
         }
 
     def _watch_reading(self, index):
-        """Let pieces turn bad soon after all of version 2 begins to be read."""
+        """Tell when all of version 2 is staged and begins to be read."""
         if index or self._is_last_reading or self._staged != self._wanted:
             return
         self._is_last_reading = True
         self._d.record.write("version 2 is staged and sound; it is read once more")
-        if self._d.has_trouble:
-            asyncio.get_running_loop().call_later(ROT_AFTER_S, self._rot)
+        self.on_last_reading()
 
     def _take_order(self, order):
         if order.get("Precondition", self._sequence) != self._sequence:
@@ -295,6 +297,20 @@
     companion = Companion(d.store, "side-ktm-a-1", d.folder, runner.address, port)
     d.entries.append(companion)
     await companion.start()
+    loop = asyncio.get_running_loop()
+
+    def freeze():
+        companion.send(signal.SIGSTOP)
+        record.write(f"{companion.name} freezes")
+        loop.call_later(ROT_AFTER_S, runner.rot)
+        loop.call_later(FREEZE_S, wake)
+
+    def wake():
+        companion.send(signal.SIGCONT)
+        record.write(f"{companion.name} wakes")
+
+    if d.has_trouble:
+        runner.on_last_reading = lambda: loop.call_later(FREEZE_AFTER_S, freeze)
     await entry.wait_ready()
     await asyncio.sleep(SETTLED_S)
 
