Let a check of the staged chunks expire before the load order

Cause: the companion compares all staged chunks with those in memory, one after the other, and then orders the load, however long that took. A suspension within the check, or a slow runner, leaves the first comparisons several seconds old.

Ruled out: a clock that stands still (none was read), and a chunk staged in between (the lock).

Change: a check allows a load for 2 s of boot time; then it is repeated, up to three times, with 4 and then 16 chunks at a time where it took too long. Why it works: the order is either written within 2 s of every comparison that it rests on, a suspension included, or not at all.

--- a/packages/core/src/marigold/core/exceptions.py
+++ b/packages/core/src/marigold/core/exceptions.py
@@ -89,3 +89,7 @@
 
 class OrderConflictError(PlatformError):
     """The order does not match the current state of the engine."""
+
+
+class OrderExpiredError(PlatformError):
+    """The order could not be sent in time; the engine has not received it."""
--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -115,11 +115,14 @@
         """Return a staged chunk without verifying it, None if there is none."""
 
     @abstractmethod
-    async def load(self, model: str, version: int, sequence: int) -> None:
+    async def load(
+        self, model: str, version: int, sequence: int, expires_at: float
+    ) -> None:
         """Order the engine to load the staged version.
 
         `sequence` is the expected number of earlier orders. Raise `OrderConflictError`
-        if the order does not match the state of the engine.
+        if the order does not match the state of the engine, and `OrderExpiredError` if
+        it could not be sent before `expires_at`, in seconds of boot time.
         """
 
 
--- a/packages/target/src/marigold/target/companion/staging.py
+++ b/packages/target/src/marigold/target/companion/staging.py
@@ -4,15 +4,21 @@
 and staged bytes may become corrupt. Chunks are therefore kept in memory too, served
 to peers from there, and compared with the staged ones before the runner is ordered to
 load. They are staged as they arrive, so that a restart of this process keeps them.
+
+A chunk may become corrupt after it was compared, so a check allows a load for a limited
+time only, suspensions of the host included, and is repeated when that time has passed.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Callable, Iterator
 
+from marigold.core.boottime import get_boottime
 from marigold.core.exceptions import (
     OrderConflictError,
+    OrderExpiredError,
     PlatformError,
     PlatformUnreachableError,
 )
@@ -25,16 +31,34 @@
 
 log = get_logger(__name__)
 
+# Seconds from the first comparison of a check to the load order. The platform forgives
+# chunks that became corrupt in the last 3 s before the engine accepts the order.
+CHECK_VALID_S = 2.0
+# Checks before a load is given up for now; its caller may call it again.
+CHECK_ROUNDS = 3
+# Concurrent comparisons of a check: at most, and as a multiple of those of a check that
+# took too long. A check begins with one, as each needs a connection of its own.
+MAXIMUM_COMPARISONS = 16
+COMPARISONS_GROWTH = 4
+
 
 class StagedEngine(WeightEngine):
     """Engine that keeps a model's chunks in memory and stages them at the runner.
 
-    `staged_version` is the version whose chunks are staged as they arrive.
+    `staged_version` is the version whose chunks are staged as they arrive. `clock`
+    reads boot time in seconds.
     """
 
-    def __init__(self, driver: RunnerDriver, model: str) -> None:
+    def __init__(
+        self,
+        driver: RunnerDriver,
+        model: str,
+        clock: Callable[[], float] = get_boottime,
+    ) -> None:
         self._driver = driver
         self._model = model
+        self._clock = clock
+        self._comparisons = 1
         self._chunks: dict[str, dict[int, bytes]] = defaultdict(dict)
         # Serialises staging, so that no chunk is replaced between the check of a
         # version and the order to load it.
@@ -93,11 +117,46 @@
             log.event("staged_unreadable", index=index, reason=exc)
             return None
 
-    async def _stage(self, manifest: Manifest) -> None:
-        """Replace staged chunks that differ from those in memory."""
+    async def _stage(self, manifest: Manifest, expires_at: float) -> bool:
+        """Replace staged chunks that differ from those in memory.
+
+        Return whether all of them were compared before `expires_at`.
+        """
+        began_at = self._clock()
+        indexes = iter(range(len(manifest.chunks)))
+        results = await asyncio.gather(
+            *(
+                self._stage_chunks(manifest, indexes, expires_at)
+                for _ in range(self._comparisons)
+            ),
+            return_exceptions=True,
+        )
+        replaced = 0
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+            replaced += result
+        now = self._clock()
+        is_recent = now < expires_at
+        log.event(
+            "chunks_staged",
+            version=manifest.version,
+            replaced=replaced,
+            seconds=now - began_at,
+            comparisons=self._comparisons,
+            is_recent=is_recent,
+        )
+        return is_recent
+
+    async def _stage_chunks(
+        self, manifest: Manifest, indexes: Iterator[int], expires_at: float
+    ) -> int:
+        """Replace chunks that differ until `expires_at`; return their number."""
         held = self._chunks[manifest.version]
         replaced = 0
-        for index in range(len(manifest.chunks)):
+        for index in indexes:
+            if self._clock() >= expires_at:
+                break
             data = held[index]
             if await self._read_staged(index) == data:
                 continue
@@ -106,7 +165,7 @@
                 await self._driver.put_chunk(self._model, index, data)
             except PlatformError as exc:
                 raise EngineOrderError(f"chunk {index} not staged: {exc}") from exc
-        log.event("chunks_staged", version=manifest.version, replaced=replaced)
+        return replaced
 
     async def load(self, manifest: Manifest, fence: int) -> None:
         """Stage a complete version and order the runner to load it.
@@ -115,15 +174,33 @@
         """
         async with self._staging_lock:
             self.staged_version = manifest.version
-            await self._stage(manifest)
-            try:
-                await self._driver.load(self._model, int(manifest.version), fence)
-            except OrderConflictError as exc:
-                raise EngineOrderError(
-                    f"the runner has received other orders: {exc}"
-                ) from exc
-            except PlatformError as exc:
-                raise EngineOrderError(f"the load order failed: {exc}") from exc
+            for _ in range(CHECK_ROUNDS):
+                expires_at = self._clock() + CHECK_VALID_S
+                if await self._stage(manifest, expires_at) and await self._order(
+                    manifest, fence, expires_at
+                ):
+                    return
+                self._comparisons = min(
+                    self._comparisons * COMPARISONS_GROWTH, MAXIMUM_COMPARISONS
+                )
+        raise EngineOrderError(f"no check of the chunks ended in {CHECK_VALID_S} s")
+
+    async def _order(self, manifest: Manifest, fence: int, expires_at: float) -> bool:
+        """Order the runner to load; return whether the order was sent in time."""
+        try:
+            await self._driver.load(
+                self._model, int(manifest.version), fence, expires_at
+            )
+        except OrderExpiredError as exc:
+            log.event("load_order_expired", version=manifest.version, reason=exc)
+            return False
+        except OrderConflictError as exc:
+            raise EngineOrderError(
+                f"the runner has received other orders: {exc}"
+            ) from exc
+        except PlatformError as exc:
+            raise EngineOrderError(f"the load order failed: {exc}") from exc
+        return True
 
     async def unload(self, version: str, fence: int) -> None:
         """Drop a version's chunks from memory."""
--- a/packages/target/tests/companion_fakes.py
+++ b/packages/target/tests/companion_fakes.py
@@ -59,7 +59,7 @@
         self._check()
         return self.staged.get(index)
 
-    async def load(self, model, version, sequence):
+    async def load(self, model, version, sequence, expires_at=math.inf):
         self._check()
         self.orders.append((version, sequence, dict(self.staged)))
         self.held = [HeldModel(model=model, version=version)]
