Close connections on which bytes arrive that nobody asked for

Cause: an idle connection to a runner went on parsing what it received, and queued each head until the connection was used again. More generally, each form had a limit of its own, and bytes that are neither a body nor a head under way had none.

Change: the first byte on an idle connection closes it, as does a second answer to a request. Why it works: the bound no longer depends on what the bytes are taken for, and it is in the two modules that make all connections.

--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -1,18 +1,33 @@
-"""Outgoing connections that detect a lost peer by TCP keep-alive and timeouts."""
+"""Outgoing connections that detect a lost peer by TCP keep-alive and timeouts.
+
+What a peer sends without being asked closes its connection: all bytes on an idle one,
+a second answer to a request, and bytes without content beyond a bound.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import re
 import select
 import socket
 from functools import partial
 from typing import Any
 
-from aiohttp import ClientError, ClientResponse, TCPConnector, hdrs
+from aiohttp import (
+    ClientError,
+    ClientPayloadError,
+    ClientResponse,
+    TCPConnector,
+    hdrs,
+)
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
 from marigold.core.exceptions import AddressError
+from marigold.core.logging import get_logger
+from marigold.core.overhead import OverheadCounter
+
+log = get_logger(__name__)
 
 # Time after which a connection with unacknowledged data is closed. Callers wait about
 # two seconds, in which a second attempt has to fit.
@@ -25,6 +40,11 @@
 ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([0-9]{1,5})")
 PORT_MAXIMUM = 65535
 LOGGED_CHARACTERS = 80
+STATUS_SWITCHING_PROTOCOLS = 101
+# Bytes that are parsed at once until the head of an answer has been received.
+HEAD_PART_BYTES = 16 * 1024
+# More than any object, manifest, chunk or report has.
+MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 # Exceptions of a call that got no complete response. The library raises a
 # `RuntimeError` for a body that is not encoded as its headers state, and a `ValueError`
@@ -45,15 +65,79 @@
 
 
 class ReusableProtocol(ResponseHandler):
-    """Protocol of a connection; `is_reused` is set from its second request on."""
+    """Protocol of a connection that is closed when its peer sends what it should not.
+
+    `is_reused` is set from its second request on, and `is_idle` while no request uses
+    the connection.
+    """
 
     is_reused = False
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.is_idle = False
+        self._has_answer = False
+        self._overhead = OverheadCounter()
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare the connection for the answer to the next request."""
+        self._has_answer = False
+        self._overhead.start()
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, unless they belong to no request."""
+        # The library passes no bytes when reading is resumed, even after the release.
+        if self.is_idle and data:
+            self._reject("bytes on an idle connection")
+            return
+        # Heads take many times their size in memory, so only a few are parsed at once.
+        while len(data) > HEAD_PART_BYTES and not self._has_answer:
+            self._parse(data[:HEAD_PART_BYTES])
+            data = data[HEAD_PART_BYTES:]
+            if not self.is_connected():
+                return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        super().data_received(data)
+        self._overhead.add(len(data))
+        # The parser keeps the rest of what it was given while reading is paused.
+        if self._reading_paused or not self.is_connected():
+            return
+        if self._overhead.is_exceeded():
+            self._reject("too many bytes without content")
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Queue the head of an answer and its body; only the first one is asked for."""
+        if self._has_answer:
+            if self.is_connected():
+                self._reject("a second answer")
+            return
+        head, body = data
+        if not is_interim(head.code):
+            self._has_answer = True
+            self._overhead.set_content(body)
+        super().feed_data(data, size)
+
+    def _reject(self, reason: str) -> None:
+        """Close the connection; an answer that is not whole ends with an error."""
+        if self.transport is None:
+            return
+        peer = self.transport.get_extra_info("peername")
+        log.event("connection_rejected", peer=peer, reason=reason)
+        exc = ClientPayloadError(reason)
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(exc)
+        self.set_exception(exc)
+        self.transport.abort()
+
 
 class CheckedConnector(TCPConnector):
     """Connector that uses no idle connection on which something has arrived.
 
-    Such bytes belong to no request, so they must not be read as the next answer.
+    Such bytes belong to no request, so they must not be read as the next answer. They
+    close the connection as soon as the event loop receives them.
     """
 
     def __init__(self, **options: Any) -> None:
@@ -64,11 +148,23 @@
         while (conn := await super()._get(key, traces)) is not None:
             protocol = conn.protocol
             if not protocol.should_close and not _is_readable(protocol):
+                protocol.is_idle = False
                 protocol.is_reused = True
                 return conn
             conn.close()
         return None
 
+    def _release(
+        self, key: Any, protocol: ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        super()._release(key, protocol, should_close=should_close)
+        protocol.is_idle = True
+
+
+def is_interim(status: int) -> bool:
+    """Return whether an answer with a status precedes the answer to the request."""
+    return 100 <= status < 200 and status != STATUS_SWITCHING_PROTOCOLS
+
 
 def _is_readable(protocol: ResponseHandler) -> bool:
     """Return whether the peer has sent data or closed the connection.
@@ -81,7 +177,12 @@
 
 
 def make_connector(keepalive: float) -> TCPConnector:
-    """Return a connector that keeps idle connections for `keepalive` seconds."""
+    """Return a connector that keeps idle connections for `keepalive` seconds.
+
+    With 0, each connection serves one request.
+    """
+    if not keepalive:
+        return CheckedConnector(limit=0, force_close=True, socket_factory=_make_socket)
     return CheckedConnector(
         limit=0,
         ttl_dns_cache=None,
@@ -117,6 +218,14 @@
     return b"".join(parts)
 
 
+async def read_whole(resp: ClientResponse, limit: int = MAXIMUM_BODY_BYTES) -> bytes:
+    """Return the body; raise `ClientPayloadError` if it has more than `limit` bytes."""
+    data = await read_body(resp, limit)
+    if len(data) > limit:
+        raise ClientPayloadError(f"the body has more than {limit} bytes")
+    return data
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and the port of ``HOST:PORT``; raise `AddressError`."""
     match = ADDRESS.fullmatch(address)
--- a/packages/core/src/marigold/core/platform/hosts.py
+++ b/packages/core/src/marigold/core/platform/hosts.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from aiohttp import ClientSession, ClientTimeout
 from cattrs import Converter
 from cattrs.errors import BaseValidationError
 
-from marigold.core.connections import CALL_ERRORS
+from marigold.core.connections import CALL_ERRORS, read_whole
 from marigold.core.exceptions import PlatformUnreachableError
 from marigold.core.schema.generated.records import HostRecord
 from marigold.core.schema.generated.settings import Platform
@@ -36,6 +37,6 @@
         async with session.get(url, timeout=ClientTimeout(total=cfg.timeout)) as resp:
             if resp.status != 200:
                 raise PlatformUnreachableError(f"host list: status {resp.status}")
-            return load_hosts(await resp.json())
+            return load_hosts(json.loads(await read_whole(resp)))
     except (*CALL_ERRORS, ValueError) as exc:
         raise PlatformUnreachableError(f"host list: {exc!r}") from exc
--- a/packages/core/src/marigold/core/platform/objects.py
+++ b/packages/core/src/marigold/core/platform/objects.py
@@ -13,7 +13,7 @@
 
 from aiohttp import ClientResponse, ClientSession, ClientTimeout
 
-from marigold.core.connections import CALL_ERRORS, is_framed
+from marigold.core.connections import CALL_ERRORS, is_framed, read_whole
 from marigold.core.exceptions import (
     ObjectConflictError,
     ObjectNotFoundError,
@@ -75,7 +75,7 @@
                     and not is_framed(resp, method)
                 ):
                     raise PlatformUnreachableError(f"{name}: no length and no chunks")
-                return resp.status, _get_version(resp), await resp.read()
+                return resp.status, _get_version(resp), await read_whole(resp)
         except CALL_ERRORS as exc:
             raise PlatformUnreachableError(f"{method} {name}: {exc!r}") from exc
 
--- a/packages/core/src/marigold/core/platform/weights.py
+++ b/packages/core/src/marigold/core/platform/weights.py
@@ -8,7 +8,7 @@
 from cattrs.errors import BaseValidationError
 from cattrs.preconf.json import make_converter
 
-from marigold.core.connections import CALL_ERRORS
+from marigold.core.connections import CALL_ERRORS, MAXIMUM_BODY_BYTES, read_whole
 from marigold.core.exceptions import (
     ManifestError,
     PlatformUnreachableError,
@@ -85,9 +85,14 @@
         """
         path = f"{manifest.model}/{manifest.version}/chunks/{index}"
         limit = ClientTimeout(sock_connect=timeout, sock_read=timeout)
-        return await self._get(path, limit)
-
-    async def _get(self, path: str, limit: ClientTimeout) -> bytes:
+        return await self._get(path, limit, manifest.chunk_size)
+
+    async def _get(
+        self,
+        path: str,
+        limit: ClientTimeout,
+        maximum_bytes: int = MAXIMUM_BODY_BYTES,
+    ) -> bytes:
         url = f"{self._cfg.url}/weights/{path}"
         try:
             async with self._session.get(url, timeout=limit) as resp:
@@ -95,6 +100,6 @@
                     raise WeightsNotFoundError(f"no weights {path}")
                 if resp.status != 200:
                     raise PlatformUnreachableError(f"{path}: status {resp.status}")
-                return await resp.read()
+                return await read_whole(resp, maximum_bytes)
         except CALL_ERRORS as exc:
             raise PlatformUnreachableError(f"{path}: {exc!r}") from exc
--- a/packages/core/src/marigold/core/serving.py
+++ b/packages/core/src/marigold/core/serving.py
@@ -1,13 +1,19 @@
-"""Small internal HTTP servers, such as the one for metrics."""
+"""HTTP servers whose callers cannot keep them busy with bytes that are no request."""
 
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
+from typing import Any
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 
 from marigold.core.connections import split_address
+from marigold.core.logging import get_logger
+from marigold.core.overhead import OverheadCounter
+
+log = get_logger(__name__)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -15,6 +21,60 @@
 SHUTDOWN_TIMEOUT_S = 0.1
 
 
+class BoundedRequestHandler(RequestHandler):
+    """Protocol that closes a connection with too many bytes without content."""
+
+    __slots__ = ("_overhead",)
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._overhead = OverheadCounter()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and close the connection if they exceed the bound."""
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count != count:
+            # The last request began in these bytes, and its head was within its bounds.
+            self._overhead.start()
+            self._overhead.set_content(self._messages[-1][1])
+            self._overhead.add(0)
+            return
+        self._overhead.add(len(data))
+        # The parser keeps the rest of what it was given while reading is paused.
+        if self._reading_paused or self._buffer_paused or self.transport is None:
+            return
+        if self._overhead.is_exceeded():
+            peer = self.transport.get_extra_info("peername")
+            log.event(
+                "connection_rejected",
+                peer=peer,
+                reason="too many bytes without content",
+            )
+            self.transport.abort()
+
+
+class BoundedServer(web.Server):
+    """Low-level server of `BoundedRequestHandler` connections."""
+
+    def __call__(self) -> RequestHandler:
+        """Return the protocol of a new connection."""
+        return BoundedRequestHandler(self, loop=self._loop, **self._kwargs)
+
+
+class BoundedAppRunner(web.AppRunner):
+    """Runner of an application on a `BoundedServer`."""
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return BoundedServer(
+            server.request_handler,
+            request_factory=server.request_factory,
+            handler_cancellation=server.handler_cancellation,
+            **server._kwargs,
+        )
+
+
 @asynccontextmanager
 async def serve_paths(
     address: str, handlers: Mapping[str, Handler]
@@ -26,7 +86,7 @@
     app = web.Application()
     for path, handler in handlers.items():
         app.router.add_get(path, handler)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+    runner = BoundedAppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
     try:
         host, port = split_address(address)
--- a/packages/entry/src/marigold/entry/api/server.py
+++ b/packages/entry/src/marigold/entry/api/server.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from marigold.core.schema.generated.settings import EntrySettings
+from marigold.core.serving import BoundedAppRunner
 from marigold.entry.api.administration import AdministrationApi
 from marigold.entry.api.callers import CallerApi
 from marigold.entry.api.middleware import convert_errors
@@ -63,7 +64,7 @@
     )
     for api in (callers, administration, health):
         api.add_routes(app)
-    runner = web.AppRunner(
+    runner = BoundedAppRunner(
         app,
         access_log=None,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
--- a/packages/entry/src/marigold/entry/commands/client.py
+++ b/packages/entry/src/marigold/entry/commands/client.py
@@ -47,14 +47,18 @@
     async def _call(self, method: str, path: str, body: Any) -> AdministrationResponse:
         from aiohttp import ClientError, ClientSession, ClientTimeout
 
+        from marigold.core.connections import make_connector, read_whole
+
         headers = {"Authorization": f"Bearer {self._key}"}
         timeout = ClientTimeout(total=CALL_TIMEOUT_S)
         try:
             async with (
-                ClientSession(timeout=timeout, headers=headers) as session,
+                ClientSession(
+                    connector=make_connector(0.0), timeout=timeout, headers=headers
+                ) as session,
                 session.request(method, self._url + path, json=body) as resp,
             ):
-                text = await resp.text()
+                text = (await read_whole(resp)).decode()
                 if resp.status >= 400:
                     raise AdministrationError(_format_error(resp.status, text))
                 etag = resp.headers.get("ETag", "").strip('"')
--- a/packages/entry/src/marigold/entry/process.py
+++ b/packages/entry/src/marigold/entry/process.py
@@ -8,10 +8,11 @@
 from contextlib import AsyncExitStack, suppress
 from typing import Any
 
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
 
 from marigold.core.clock import HybridClock
 from marigold.core.commands import tune_garbage_collector
+from marigold.core.connections import make_connector
 from marigold.core.lifecycle import Process, cancel_tasks
 from marigold.core.links.identity import Identity, make_incarnation
 from marigold.core.links.link import LinkContext
@@ -57,6 +58,8 @@
 
 log = get_logger(__name__)
 
+# Seconds that idle connections to the object API are kept.
+OBJECTS_KEEPALIVE_S = 15.0
 STOP_POLL_INTERVAL_S = 0.02
 # Seconds for the error responses to requests that exceed the stop timeout.
 LAST_ANSWERS_S = 1.0
@@ -93,7 +96,7 @@
         )
         async with AsyncExitStack() as stack:
             session = await stack.enter_async_context(
-                ClientSession(connector=TCPConnector(limit=0))
+                ClientSession(connector=make_connector(OBJECTS_KEEPALIVE_S))
             )
             self._build_components(session)
             await self._host_poller.refresh()
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -31,7 +31,7 @@
     Links,
     RelaySettings,
 )
-from marigold.core.serving import serve_paths
+from marigold.core.serving import BoundedServer, serve_paths
 from marigold.core.settings import load_settings
 from marigold.core.stalls import StallMonitor
 from marigold.entry.hub.hub import Feeds, Hub
@@ -222,7 +222,7 @@
         self, stack: AsyncExitStack, adapter: Adapter, stop: asyncio.Event
     ) -> None:
         cfg = self._cfg
-        callers = web.Server(
+        callers = BoundedServer(
             self._frontend.handle,
             handler_cancellation=True,
             access_log=None,
--- a/packages/target/src/marigold/target/gate/drivers.py
+++ b/packages/target/src/marigold/target/gate/drivers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -18,10 +19,9 @@
     ClientSession,
     ClientTimeout,
     ServerDisconnectedError,
-    TCPConnector,
 )
 
-from marigold.core.connections import CALL_ERRORS
+from marigold.core.connections import CALL_ERRORS, make_connector, read_whole
 from marigold.core.exceptions import MarigoldError
 from marigold.core.schema.generated.messages import StartAttempt
 from marigold.core.schema.generated.settings import EngineSettings
@@ -79,7 +79,7 @@
     is offered only what the caller accepts.
     """
     return ClientSession(
-        connector=TCPConnector(limit=0, force_close=True),
+        connector=make_connector(0.0),
         auto_decompress=False,
         skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type", "User-Agent"),
         timeout=ClientTimeout(total=None),
@@ -181,7 +181,7 @@
         url = f"{self._cfg.url}/load"
         try:
             async with self._session.get(url, timeout=timeout) as resp:
-                return await resp.json()
+                return json.loads(await read_whole(resp))
         except (BackEndError, *CALL_ERRORS, ValueError) as exc:
             raise BackEndUnreachableError(f"{url}: {exc!r}") from exc
 
--- a/packages/target/src/marigold/target/weights/engine.py
+++ b/packages/target/src/marigold/target/weights/engine.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from abc import ABC, abstractmethod
 from typing import Any
 
 from aiohttp import ClientSession, ClientTimeout
 
-from marigold.core.connections import CALL_ERRORS
+from marigold.core.connections import CALL_ERRORS, read_whole
 from marigold.core.schema.generated.records import Manifest
 from marigold.core.schema.generated.settings import EngineSettings
 from marigold.target.weights.exceptions import EngineFencedError, EngineOrderError
@@ -83,7 +84,7 @@
         timeout = ClientTimeout(total=self._cfg.timeout)
         try:
             async with self._session.get(url, timeout=timeout) as resp:
-                return list((await resp.json())["versions"])
+                return list(json.loads(await read_whole(resp))["versions"])
         except (*CALL_ERRORS, ValueError, LookupError) as exc:
             raise EngineOrderError(f"GET /load: {exc!r}") from exc
 
@@ -96,7 +97,7 @@
             async with self._session.request(
                 method, url, timeout=limit, **options
             ) as resp:
-                data = await resp.read()
+                data = await read_whole(resp)
         except CALL_ERRORS as exc:
             raise EngineOrderError(f"{method} {path}: {exc!r}") from exc
         if resp.status == STATUS_FENCED:
