Require keys where the list of organisations is empty

Cause: whether a request needs a key was derived from the list of organisations, so that an empty list meant no check at all.

Ruled out: that version 1 stayed in force (an unknown key would get 401), and that only the age of the key is not checked (a request without a key ran).

Hubs send the statement with the version; where it is missing, keys are required. Why it works: the check no longer depends on whether anybody passes it.

--- a/packages/core/src/marigold/core/platform/part_codecs.py
+++ b/packages/core/src/marigold/core/platform/part_codecs.py
@@ -80,7 +80,11 @@
             return {}
         cfg = max(items.values(), key=lambda item: item.version)
         head = Configuration(
-            version=cfg.version, routes=[], services=[], bounds=cfg.bounds
+            version=cfg.version,
+            routes=[],
+            services=[],
+            requires_keys=cfg.requires_keys,
+            bounds=cfg.bounds,
         )
         parts: Parts = {HEAD: head}
         for route in cfg.routes:
@@ -103,6 +107,7 @@
             organisations=[
                 item for name, item in parts.items() if name.startswith(ORGANISATION)
             ],
+            requires_keys=head.requires_keys if head else True,
             bounds=head.bounds if head else CallerBounds(),
         )
         return {CONFIGURATION_NAME: cfg}
--- a/packages/entry/src/marigold/entry/relay/catalogue.py
+++ b/packages/entry/src/marigold/entry/relay/catalogue.py
@@ -24,12 +24,12 @@
     Example: `catalogue.find_route("quotes.example", "/draft/7")`.
     """
 
-    __slots__ = ("_keys", "_routes", "_services", "bounds", "has_keys", "version")
+    __slots__ = ("_keys", "_routes", "_services", "bounds", "requires_keys", "version")
 
     def __init__(self, cfg: Configuration) -> None:
         self.version = cfg.version
         self.bounds: CallerBounds = cfg.bounds
-        self.has_keys = bool(cfg.organisations)
+        self.requires_keys = cfg.requires_keys
         self._services: dict[str, Service] = {item.name: item for item in cfg.services}
         self._keys: dict[str, Organisation] = {
             key: item for item in cfg.organisations for key in item.keys
@@ -49,8 +49,8 @@
         return None
 
     def find_organisation(self, key: str) -> Organisation | None:
-        """Return the organisation that holds a key."""
-        return self._keys.get(key)
+        """Return the organisation that holds a key; an empty one is no key."""
+        return self._keys.get(key) if key else None
 
     def get_engine(self, service: str) -> EngineModel | None:
         """Return the cost model of a service, None for a plain service."""
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -197,7 +197,7 @@
             raise NoRouteError("no route matches host and path")
         precedence = None
         organisation = ""
-        if catalogue.has_keys and not route.is_public:
+        if catalogue.requires_keys and not route.is_public:
             found = catalogue.find_organisation(head.key)
             if not self._freshness.may_use_key(age):
                 raise NotServedError(
