Let a configuration age while the store has none that can be read

What callers would see: a key goes on working after a version that withdrew it, for as long as the store answers, if that version cannot be decoded or was removed.

Cause: the entry keeps the last version that it could read, but took the age of its cache for that of this version, and each answer of the store confirms the cache, which is empty.

The log has `configuration_missing kept=True`, so that it is not taken for the newest one.

Change: from then on the kept version has the age of its last confirmation. Requests go on until the bound of a withdrawal; then those with a key get 503 and the entry is not ready, until a version can be read. Why it works: the age belongs to what is in force again.

--- a/packages/entry/src/marigold/entry/relay/source.py
+++ b/packages/entry/src/marigold/entry/relay/source.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
+from marigold.core.boottime import get_boottime
 from marigold.core.logging import get_logger
 from marigold.core.platform.object_cache import ObjectCache
 from marigold.core.schema.generated.deployment import (
@@ -25,13 +27,22 @@
     """Source of the current catalogue, which is None before the first configuration.
 
     The newest configuration ever received stays in force. An older one from the store,
-    such as after a loss of its history, is ignored.
+    such as after a loss of its history, is ignored. One that cannot be decoded, or has
+    been removed, leaves the last one in force, which is not confirmed any more. `clock`
+    reads boot time in seconds.
     """
 
-    __slots__ = ("_configurations", "catalogue")
+    __slots__ = ("_clock", "_configurations", "_last_confirmed_at", "catalogue")
 
-    def __init__(self, configurations: ObjectCache[Configuration]) -> None:
+    def __init__(
+        self,
+        configurations: ObjectCache[Configuration],
+        clock: Callable[[], float] = get_boottime,
+    ) -> None:
         self._configurations = configurations
+        self._clock = clock
+        # Set while the store has no configuration that can be read.
+        self._last_confirmed_at: float | None = None
         self.catalogue: Catalogue | None = None
         configurations.subscribe(self._apply)
 
@@ -47,6 +58,8 @@
 
     def get_age(self) -> float | None:
         """Return the seconds since the store confirmed it, None if it never did."""
+        if self._last_confirmed_at is not None:
+            return max(self._clock() - self._last_confirmed_at, 0.0)
         return self._configurations.get_age()
 
     def get_engine(self, service: str) -> EngineModel | None:
@@ -65,7 +78,10 @@
         received = list(self._configurations.items.values())
         if not received:
             log.event("configuration_missing", kept=self.catalogue is not None)
+            if self._last_confirmed_at is None:
+                self._last_confirmed_at = self._configurations.confirmed_at
             return
+        self._last_confirmed_at = None
         newest = max(received, key=lambda item: item.version)
         current = self.catalogue
         if current is not None and newest.version < current.version:
