Wait for all silent runners of a request

What callers saw: 504 though one of their runners was about to answer (the listed SecondPauseTests).

Cause: an attempt whose runner falls silent is kept until another runner answers, but there was room for one. A second silent runner was closed at once, and once the attempts were used up only the first one was waited for.

Evidence: with a dead first runner, a second one that pauses for 1.5, 2.6 or 3 s and a silent third one, streams and plain requests get 504 in place of the second one's whole answer.

Change: all silent attempts of a request are kept, the first one that goes on is relayed, and the others are closed. When no other runner can be asked, all are waited for, also after one of them broke. Why it works: nothing is given up before another runner has begun to answer.

--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, TypeVar
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from aiohttp import web
 
@@ -14,7 +14,6 @@
 from marigold.entry.relay.exceptions import (
     NotRunError,
     NotSentError,
-    ResumedError,
     RunnerError,
     SuspectedMeanwhileError,
     TooOldError,
@@ -99,6 +98,7 @@
     After `run` raised `SilentRunnerError`, the runner may only have paused. The attempt
     is then either closed, or suspended while another runner is asked; `run` may be
     called again after `resume`. `send` sends the request and returns the answer.
+    `watch` waits for the runner while the attempt is suspended.
     """
 
     __slots__ = (
@@ -109,10 +109,10 @@
         "_send",
         "_sent_at",
         "_sent_version",
-        "_watch",
         "outcome",
         "trial",
         "view",
+        "watch",
         "watchdog",
     )
 
@@ -133,7 +133,7 @@
         self._reader: AnswerReader | None = None
         self._sent_at = ctx.sent_at
         self._sent_version = ctx.sent_version
-        self._watch: asyncio.Task[bool] | None = None
+        self.watch: asyncio.Task[bool] | None = None
         self.view = view
         self.trial = trial
         self.watchdog = watchdog
@@ -141,8 +141,8 @@
 
     async def run(self) -> web.StreamResponse:
         """Relay the answer; raise `RunnerError` if it is not whole."""
-        if self._watch is not None:
-            await self._watch
+        if self.watch is not None:
+            await self.watch
         reader = await self._get_reader()
         return await self._relay.relay(self.view, reader, self.watchdog, self.outcome)
 
@@ -164,8 +164,8 @@
         """
         self.watchdog.started_before_stall = self._ctx.is_started
         self.watchdog.tolerates_silence = True
-        self._watch = asyncio.create_task(self._wait_progress())
-        self._watch.add_done_callback(self._close_after_failure)
+        self.watch = asyncio.create_task(self._wait_progress())
+        self.watch.add_done_callback(self._close_after_failure)
 
     async def _wait_progress(self) -> bool:
         """Wait until the runner goes on; return whether its answer is a good one."""
@@ -181,33 +181,18 @@
     @property
     def has_progress(self) -> bool:
         """Return whether the runner has gone on since the attempt was suspended."""
-        watch = self._watch
-        if watch is None or not watch.done() or watch.cancelled():
+        watch = self.watch
+        if watch is None or not watch.done() or self.has_failed:
             return False
-        return watch.exception() is None and watch.result()
+        return watch.result()
 
-    async def run_beside(
-        self, call: Callable[[], Coroutine[Any, Any, T]], may_cancel: Callable[[], bool]
-    ) -> T:
-        """Run a call at another runner while this attempt is suspended.
-
-        Raise `ResumedError` if the runner goes on before that, unless `may_cancel`
-        returns False then.
-        """
-        if self.has_progress:
-            raise ResumedError(f"{self.view.id}: went on")
-        task = asyncio.create_task(call())
-        waiting: set[asyncio.Future[Any]] = {task}
-        if self._watch is not None:
-            waiting.add(self._watch)
-        try:
-            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-            if not task.done() and self.has_progress and may_cancel():
-                raise ResumedError(f"{self.view.id}: went on")
-            return await task
-        finally:
-            if task.cancel():
-                await asyncio.gather(task, return_exceptions=True)
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the attempt broke since it was suspended."""
+        watch = self.watch
+        if watch is None or not watch.done():
+            return False
+        return watch.cancelled() or watch.exception() is not None
 
     def _close_after_failure(self, watch: asyncio.Task[bool]) -> None:
         if not watch.cancelled() and watch.exception() is not None:
@@ -224,8 +209,8 @@
 
     def close(self) -> None:
         """Close the connection, so that the runner stops working on the request."""
-        if self._watch is not None:
-            self._watch.cancel()
+        if self.watch is not None:
+            self.watch.cancel()
         self.watchdog.cancel()
         if self._answer is not None:
             self._answer.abort()
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -37,6 +37,7 @@
     CallerRequest,
 )
 from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.stalled import StalledAttempts
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import WITHDRAW_LEAD_S, AttemptWatchdog
 from marigold.entry.suspicion.admission import Trial, TrialRefusedError
@@ -57,8 +58,8 @@
 class RequestExecution:
     """The attempts of one request, one after another.
 
-    `may_have_run` is set from the first attempt that a runner may have executed. An
-    attempt whose runner fell silent is kept until another runner has begun to answer.
+    `may_have_run` is set from the first attempt that a runner may have executed.
+    Attempts whose runners fell silent are kept until a runner has begun to answer.
     """
 
     __slots__ = (
@@ -84,7 +85,7 @@
         self._ctx = ctx
         self._req = req
         self._unsent_attempts = 0
-        self._stalled: Attempt | None = None
+        self._stalled = StalledAttempts()
         self._answer = AnswerRelay(
             server.scheduler,
             server.header_codec,
@@ -111,19 +112,20 @@
         try:
             return await self._try_runners()
         except RelayError as exc:
-            attempt, self._stalled = self._stalled, None
-            if attempt is None:
+            if not self._stalled:
                 raise
+            attempt = await self._stalled.take_first()
+            self._stalled.close()
             return await self._continue(attempt, exc)
         finally:
-            self._drop_stalled()
+            self._stalled.close()
 
     async def _try_runners(self) -> web.StreamResponse:
         while True:
-            if self._stalled is None:
-                result = await self._try_next()
+            if self._stalled:
+                result = await self._try_beside(self.response)
             else:
-                result = await self._try_beside(self._stalled, self.response)
+                result = await self._try_next()
             if not isinstance(result, RunnerError):
                 return result
             await self._require_retry(result)
@@ -136,12 +138,11 @@
             trial.end()
 
     async def _try_beside(
-        self, attempt: Attempt, resp: web.StreamResponse | None
+        self, resp: web.StreamResponse | None
     ) -> web.StreamResponse | RunnerError:
         """Try the next runner until it answers or a stalled attempt goes on."""
-        return await attempt.run_beside(
-            self._try_next,
-            lambda: self._stalled is attempt and self.response is resp,
+        return await self._stalled.run_beside(
+            self._try_next, lambda: bool(self._stalled) and self.response is resp
         )
 
     async def _continue(
@@ -171,14 +172,9 @@
 
     def _record_start(self) -> None:
         """Record that a runner began to answer; a stalled attempt is not needed now."""
-        self._drop_stalled()
+        self._stalled.close()
         self._server.suspects.record_start(self._ctx.id, self._req)
 
-    def _drop_stalled(self) -> None:
-        if self._stalled is not None:
-            self._stalled.close()
-            self._stalled = None
-
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
         try:
@@ -371,7 +367,7 @@
             self.may_have_run = could_have_run
             raise
         except SilentRunnerError:
-            self._keep(attempt)
+            self._stalled.add(attempt)
             raise
         except BaseException:
             attempt.close()
@@ -379,14 +375,6 @@
         self._record_answer(resp)
         return resp
 
-    def _keep(self, attempt: Attempt) -> None:
-        """Keep an attempt at a silent runner, which may only have paused."""
-        if self._stalled is not None:
-            attempt.close()
-            return
-        attempt.suspend()
-        self._stalled = attempt
-
     def _record_answer(self, resp: web.StreamResponse) -> None:
         ctx = self._ctx
         if resp.status < STATUS_FAILURE:
