Give the engine of a test of backoffs the expiry of orders

Load orders carry the time until which they may be sent, and the test replaces the fake engine's load by one without that argument. The checks of the test are the same.

--- a/packages/target/tests/load_backoff_tests.py
+++ b/packages/target/tests/load_backoff_tests.py
@@ -11,8 +11,8 @@
     async def test_version_that_crashes_its_runner_is_loaded_with_backoff(self):
         load = self.driver.load
 
-        async def crash(model, version, sequence):
-            await load(model, version, sequence)
+        async def crash(model, version, sequence, expires_at):
+            await load(model, version, sequence, expires_at)
             self.driver.held = []
             self.driver.started_ms += 1
 
