Keep the state of a hub apart from the follower's cache

Cause: a follower used the same parts as contents of its cache and as the base of its hub's changes. After a move to a hub that is behind they belong to another position than the hub's, and the hub's differences, or its age alone, then confirmed contents that the store never had.

Ruled out: a wrong difference (nothing changed at the hub between its two positions) and a wrong age (the hub has the position that it names).

Change: the follower holds the hub's state with its position, and the cache takes it as a whole once the hub is ahead, also on an age alone. Hubs send all parts unless the follower is at exactly their position; changes have to continue the position held; an age names the last change, so that a lost or undecodable message confirms nothing.

--- a/packages/core/tests/replication_tests.py
+++ b/packages/core/tests/replication_tests.py
@@ -200,6 +200,115 @@
         self.assertGreaterEqual(self.cache.get_age(), 3.0)
 
 
+class ExactStateTests(ReplicationTestCase):
+    """What a follower holds is what the store had at the position that it names.
+
+    Guards against a key that stayed in force after it was withdrawn: an entry applied
+    the changes of a hub to contents that the hub never had.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.other = ObjectCache("runners", self.read_clock)
+        self.second = Publisher("runners", self.other, self.codec, self.read_clock)
+        self.list_at(self.hub, 1, "i1")
+
+    def exchange_ages(self, publisher):
+        """Apply the age of a hub; request all again if a message was missing."""
+        if self.subscriber.apply_age(publisher.get_age(), self.now) is False:
+            self.follow(publisher)
+            self.deliver()
+            self.subscriber.apply_age(publisher.get_age(), self.now)
+
+    def move_to_hub_that_is_behind(self):
+        self.list_at(self.other, 1, "i1")
+        self.follow()
+        self.deliver()
+        self.hub.apply_changes({"i2": make_runner("i2")}, 2, "store")
+        self.deliver()
+        self.follow(self.second)
+        self.deliver()
+        self.assertEqual(set(self.cache.items), {"i1", "i2"})
+
+    def test_hub_reads_an_addition_and_its_removal_at_once(self):
+        self.move_to_hub_that_is_behind()
+        self.list_at(self.other, 3, "i1")
+        self.exchange_ages(self.second)
+        self.assertEqual((self.cache.revision, set(self.cache.items)), (3, {"i1"}))
+        self.assertEqual(self.cache.get_age(), 0.0)
+
+    def test_hub_reads_an_addition_and_its_removal_beside_another_change(self):
+        self.move_to_hub_that_is_behind()
+        self.list_at(self.other, 4, "i1", "i4")
+        self.deliver()
+        self.assertEqual(set(self.cache.items), {"i1", "i4"})
+
+    def test_hub_reads_a_removal_and_its_reversal_at_once(self):
+        self.list_at(self.other, 1, "i1")
+        self.follow()
+        self.deliver()
+        self.hub.apply_changes({"i1": None}, 2, "store")
+        self.deliver()
+        self.follow(self.second)
+        self.deliver()
+        self.list_at(self.other, 3, "i1")
+        self.exchange_ages(self.second)
+        self.assertEqual(set(self.cache.items), {"i1"})
+
+    def test_first_listing_of_a_hub_is_a_snapshot(self):
+        self.follow()
+        self.deliver()
+        self.follow(self.second)
+        self.list_at(self.other, 3, "i3")
+        self.deliver()
+        self.assertEqual(set(self.cache.items), {"i3"})
+
+    def test_hub_that_got_its_state_from_another_one_passes_it_on(self):
+        self.other.replace_all({"i3": make_runner("i3")}, 3, "hub")
+        self.follow(self.second)
+        self.deliver()
+        self.assertEqual((self.cache.revision, set(self.cache.items)), (3, {"i3"}))
+
+    def test_age_does_not_confirm_a_state_without_a_lost_change(self):
+        self.follow()
+        self.deliver()
+        self.hub.apply_changes({"i1": None}, 2, "store")
+        self.sent.clear()
+        self.exchange_ages(self.publisher)
+        self.assertEqual((self.cache.revision, set(self.cache.items)), (2, set()))
+
+    def test_age_does_not_confirm_a_state_whose_change_is_malformed(self):
+        self.follow()
+        self.deliver()
+        self.subscriber.apply_age(self.publisher.get_age(), self.now)
+        self.now += 3.0
+        self.hub.apply_changes({"i1": None}, 2, "store")
+        self.sent[0].items = b"malformed"
+        with self.assertRaises(LinkMessageError):
+            self.deliver()
+        self.sent.clear()
+        self.hub.confirm(2, self.now)
+        self.subscriber.apply_age(self.publisher.get_age(), self.now)
+        self.assertEqual((self.cache.revision, self.cache.get_age()), (1, 3.0))
+
+    def test_part_that_loses_its_encoding_is_removed(self):
+        self.follow()
+        self.deliver()
+        odd = make_runner("i1", service="\ud800")
+        self.hub.apply_changes({"i1": odd}, 2, "store")
+        self.deliver()
+        self.assertEqual(self.cache.items, {})
+
+    def test_change_of_an_earlier_request_is_not_applied(self):
+        self.follow()
+        self.deliver()
+        self.hub.apply_changes({"i2": make_runner("i2")}, 2, "store")
+        change = self.sent.pop()
+        self.subscriber.make_request()
+        self.subscriber.apply(change, "hub")
+        self.assertEqual((self.cache.revision, set(self.cache.items)), (1, {"i1"}))
+
+
 class AgeTests(ReplicationTestCase):
     def setUp(self):
         super().setUp()
@@ -319,7 +428,7 @@
         self.now += there
         answer = Ages(sent=sent, ages=[], at=self.read_hub_clock())
         self.now += back
-        self.subscribers.apply_ages(answer)
+        self.subscribers.apply_ages(self.channel, answer)
 
     def change(self, age=0.0):
         """Have the hub publish a change; return when the store received it."""
--- a/packages/entry/src/marigold/entry/hub/service.py
+++ b/packages/entry/src/marigold/entry/hub/service.py
@@ -167,7 +167,8 @@
                 self._dispatcher.handle(channel, session.placements, message)
 
     def _make_ages(self, sent: float) -> Ages:
-        ages = [item.get_age() for item in self._publishers.values()]
+        """Return the ages that a process requested, none if it did not."""
+        ages = [item.get_age() for item in self._publishers.values() if sent]
         found = [age for age in ages if age is not None]
         return Ages(
             sent=sent,
--- a/packages/entry/src/marigold/entry/hub/session.py
+++ b/packages/entry/src/marigold/entry/hub/session.py
@@ -179,7 +179,7 @@
         # Known before the first state comes, which may be delayed like any change.
         self._subscribers.record_clock(message)
         if self._is_followed:
-            self._subscribers.apply_ages(message)
+            self._subscribers.apply_ages(self.channel, message)
         self.has_answered.set()
 
     def open_replies(self, ask_id: int) -> asyncio.Queue[Any]:
--- a/packages/target/src/marigold/target/companion/cache_updater.py
+++ b/packages/target/src/marigold/target/companion/cache_updater.py
@@ -134,4 +134,4 @@
             case ManifestAnswer():
                 self._resolve_manifest(message)
             case Ages():
-                self._subscribers.apply_ages(message)
+                self._subscribers.apply_ages(hub, message)
