Ignore changes of the store that are older than the cache

Cause: `ObjectCache.apply_changes` applied an answer of the store whatever position the cache had reached meanwhile through the hub; `replace_all` did not.

Ruled out: that a process has one source at a time (`HubClient._open_own` watches the store before it leaves its hub).

Change: changes up to an older position are ignored and logged.

--- a/packages/core/src/marigold/core/platform/object_cache.py
+++ b/packages/core/src/marigold/core/platform/object_cache.py
@@ -97,13 +97,7 @@
         for those that it does not name.
         """
         if revision < self.revision:
-            log.event(
-                "listing_outdated",
-                feed=self.name,
-                revision=revision,
-                known=self.revision,
-                source=source,
-            )
+            self._log_outdated("listing_outdated", revision, source)
             return False
         after = dict(items)
         is_return = is_restored(self.revision, revision)
@@ -127,8 +121,11 @@
         source: str,
         changed_at: float | None = None,
     ) -> None:
-        """Apply changed items by name, None for removed ones."""
-        self.revision = max(self.revision, revision)
+        """Apply changed items by name, None for removed ones; ignore older ones."""
+        if revision < self.revision:
+            self._log_outdated("changes_outdated", revision, source)
+            return
+        self.revision = revision
         if not items:
             return
         changed = dict(self.items)
@@ -144,6 +141,11 @@
         self._update_valid_from([*new, *kept], changed_at, kept)
         self._publish("changed", len(items), source)
 
+    def _log_outdated(self, name: str, revision: int, source: str) -> None:
+        log.event(
+            name, feed=self.name, revision=revision, known=self.revision, source=source
+        )
+
     def get_earliest_change(self, name: str, item: T) -> float | None:
         """Return the earliest boot time at which a new item can have been stored.
 
--- a/packages/core/tests/feeds_tests.py
+++ b/packages/core/tests/feeds_tests.py
@@ -187,6 +187,48 @@
         self.assertEqual(self.follower.items, {"a": 2})
 
 
+class LateAnswerTests(unittest.IsolatedAsyncioTestCase):
+    """An answer of the store that is older than the cache changes no item.
+
+    Guards against a removed item that came back, or a new one that was removed: a
+    process that tries the store itself still gets changes from its hub.
+    """
+
+    async def watch_beside_hub(self, changes, items, revision):
+        """Return the cache after a hub replaced its items during a watch."""
+        feed = ScriptedFeed(Clock(), (0.0, Listing({"a": 1}, 7)), (0.0, changes))
+        follower = FeedFollower(feed, WAIT_S, 5.0, random.Random(1))
+        answer = feed.watch
+
+        async def watch(known, wait):
+            if len(feed.calls) == 1:
+                follower.replace_all(items, revision, "hub")
+            return await answer(known, wait)
+
+        feed.watch = watch
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(5.0):
+            while len(feed.calls) < 3:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        return follower
+
+    async def test_removed_item_does_not_come_back(self):
+        cache = await self.watch_beside_hub(Changes({"b": 2}, 8), {"a": 1}, 9)
+        self.assertEqual((cache.items, cache.revision), ({"a": 1}, 9))
+
+    async def test_new_item_is_not_removed(self):
+        cache = await self.watch_beside_hub(Changes({"a": None}, 8), {"a": 1}, 9)
+        self.assertEqual((cache.items, cache.revision), ({"a": 1}, 9))
+
+    async def test_newer_answer_is_applied(self):
+        changes = Changes({"a": None, "b": 2}, 9)
+        cache = await self.watch_beside_hub(changes, {"a": 1, "b": 1}, 8)
+        self.assertEqual((cache.items, cache.revision), ({"b": 2}, 9))
+
+
 class ChangeTimeTests(FeedFollowerTestCase):
     """Earliest possible time of a change made while the store was not being watched.
 
--- a/packages/core/tests/replication_orders_tests.py
+++ b/packages/core/tests/replication_orders_tests.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import random
 import unittest
 from collections import deque
@@ -26,11 +27,12 @@
     "receive": 3,
     "send": 3,
     "lose": 1,
+    "watch": 3,
     "restart": 1,
     "restore": 1,
 }
 # Events that need a hub.
-FOLLOWER_EVENTS = ("exchange", "receive", "send", "lose")
+FOLLOWER_EVENTS = ("exchange", "receive", "send", "lose", "watch")
 
 
 class Store:
@@ -55,6 +57,17 @@
         self.position += 1
         self.states[self.position] = items
 
+    def find_changes(self, first, last):
+        """Return the items that changed between positions, None for removed ones."""
+        states = [self.states[item] for item in range(first, last + 1)]
+        names = {
+            name
+            for before, after in itertools.pairwise(states)
+            for name in before.keys() | after.keys()
+            if before.get(name) != after.get(name)
+        }
+        return {name: states[-1].get(name) for name in names}
+
     def restore(self, rng):
         """Come back from a copy, in a new era."""
         copy = rng.choice([item for item in self.states if get_era(item) == self.era])
@@ -79,12 +92,7 @@
             self.cache.replace_all(items, position, "store")
             self.cache.confirm(position, self.clock())
             return
-        old = self.store.states[known]
-        changes = {
-            name: items.get(name)
-            for name in old.keys() | items.keys()
-            if old.get(name) != items.get(name)
-        }
+        changes = self.store.find_changes(known, position)
         self.cache.confirm(position, self.clock())
         self.cache.apply_changes(changes, position, "store")
 
@@ -101,6 +109,7 @@
         self.requests = deque()
         self.messages = deque()
         self.put = None
+        self.watched_from = None
 
     def attach(self, hub):
         if self.hub is not None:
@@ -134,9 +143,13 @@
         if is_valid is False:
             self.requests.append(self.subscriber.make_request())
 
-    def step(self, name, rng):
+    def step(self, name, rng, store):
         """Let an event of this follower happen, if it can."""
         match name:
+            case "watch" if self.watched_from is None:
+                self.watched_from = self.cache.revision
+            case "watch":
+                self.receive_from_store(rng, store)
             case "exchange":
                 self.request_age()
                 self.settle()
@@ -147,6 +160,18 @@
             case "lose" if self.messages:
                 del self.messages[rng.randrange(len(self.messages))]
 
+    def receive_from_store(self, rng, store):
+        """Apply what a watch of the store returned at a position since it began."""
+        known, self.watched_from = self.watched_from, None
+        era = get_era(known)
+        positions = [item for item in store.states if get_era(item) == era]
+        if not era or era != store.era:
+            return
+        position = rng.choice([item for item in positions if item >= known])
+        changes = store.find_changes(known, position)
+        self.cache.confirm(position, self.cache.confirmed_at or 0.0)
+        self.cache.apply_changes(changes, position, "store")
+
     def settle(self):
         """Deliver all requests and messages."""
         while self.requests or self.messages:
@@ -200,7 +225,7 @@
             case "attach":
                 follower.attach(self.hubs[number])
             case _:
-                follower.step(name, rng)
+                follower.step(name, rng, self.store)
         return name, number
 
     def restart(self, number):
