Load no version while a call of another one may be carried out

Reproduced: version 3 answers with one chunk of version 2, or version 2 with four of 3.

Cause: a call that stages a chunk, or orders a load, was taken not to run any more once it had had no answer for a second, or its companion had been killed. The runner carries it out later, between the last comparison and the order, or accepts the order while the next version is staged. It has one staged copy and checks nothing.

Evidence: platform_staging_tests, a companion as a process of its own: three of five orders of events load a mixture, the same three on and on. Ruled out: a chunk that becomes corrupt while an order waits (it is replaced before the order is repeated).

Change: such calls stay open with their connection until the answer, 15 s at most, while their caller goes on after a second as before. No chunk is staged and no load ordered while a call of another version is without an answer, has lost its connection less than 6 s ago, or may be one of the process's predecessor, unless the runner restarted since or chunks of the version are found staged.

All five orders hold, and staging_calls_tests.

--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -326,8 +326,14 @@
         """Return the registry of quarantined requests."""
 
     @abstractmethod
-    def make_runner_driver(self, session: ClientSession, address: str) -> RunnerDriver:
-        """Return a client of the model engine at an address."""
+    def make_runner_driver(
+        self, session: ClientSession, address: str, change_timeout: float
+    ) -> RunnerDriver:
+        """Return a client of the model engine at an address.
+
+        `change_timeout` limits the seconds of a call that stages a chunk or orders a
+        load.
+        """
 
     @abstractmethod
     def make_weight_source(self, session: ClientSession, address: str) -> WeightSource:
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -51,6 +51,11 @@
 from marigold.target.companion.peer_directory import PeerDirectory, get_held_version
 from marigold.target.companion.reconciler import WeightReconciler
 from marigold.target.companion.staging import StagedEngine
+from marigold.target.companion.staging_calls import (
+    CALL_TIMEOUT_S,
+    LOST_CALL_S,
+    StagingCalls,
+)
 from marigold.target.companion.switch_stagger import SwitchStagger
 from marigold.target.companion.version_schedule import VersionSchedule
 from marigold.target.weights.exchange import WeightExchange
@@ -108,6 +113,7 @@
         self._rng = random.Random(cfg.seed or None)
         self._clock = HybridClock()
         self._metrics = CompanionMetrics()
+        self._calls = StagingCalls(settled_at=get_boottime() + LOST_CALL_S)
         self._exchange: WeightExchange | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -204,7 +210,7 @@
                 model, origin, size = await self._find_model()
                 weights = adapter.make_weight_source(session, origin.address)
                 source = HubManifestSource(weights, updater)
-                driver = adapter.make_runner_driver(session, cfg.runner)
+                driver = adapter.make_runner_driver(session, cfg.runner, CALL_TIMEOUT_S)
                 reconciler = self._build(
                     driver, source, ctx, loads, model, origin, size
                 )
@@ -238,7 +244,7 @@
     ) -> WeightReconciler:
         cfg = self._cfg
         region = cfg.regions.get(origin.data_centre, origin.data_centre)
-        engine = StagedEngine(driver, model)
+        engine = StagedEngine(driver, model, calls=self._calls)
         rate = cfg.link_mbps * BYTES_PER_MEGABIT
         copy_time = size / (rate * PAYLOAD_FRACTION)
         origin_rate = origin.bytes_per_second or rate
--- a/packages/target/src/marigold/target/companion/reconciler.py
+++ b/packages/target/src/marigold/target/companion/reconciler.py
@@ -120,6 +120,9 @@
         scheduled = pending[0]
         if not self._load_backoff.may_load(scheduled.version, self._clock()):
             return
+        if not self._engine.calls.is_free_for(str(scheduled.version)):
+            log.routine("load_deferred", model=self._model, version=scheduled.version)
+            return
         download = self._copies.get(scheduled.version)
         if download is None:
             return
@@ -195,6 +198,7 @@
             self._is_reachable = True
             log.event("keeper_goes_on", model=self._model, sequence=report.sequence)
         self.report = report
+        self._engine.calls.record_report(report.started_ms)
         version = get_held_version(report.held)
         crashes = self._load_backoff.record_report(
             report.started_ms, version, self._clock()
--- a/packages/target/src/marigold/target/companion/staging.py
+++ b/packages/target/src/marigold/target/companion/staging.py
@@ -7,6 +7,8 @@
 
 A chunk may become corrupt after it was compared, so a check allows a load for a limited
 time only, suspensions of the host included, and is repeated when that time has passed.
+The runner may also carry out a call late, so a version is staged and loaded only while
+no call of another one is outstanding.
 """
 
 from __future__ import annotations
@@ -26,6 +28,7 @@
 from marigold.core.platform.adapter import RunnerDriver
 from marigold.core.platform.weights import compute_digest
 from marigold.core.schema.generated.records import Manifest
+from marigold.target.companion.staging_calls import ORDER, StagingCalls
 from marigold.target.weights.engine import WeightEngine
 from marigold.target.weights.exceptions import EngineOrderError
 
@@ -46,7 +49,7 @@
     """Engine that keeps a model's chunks in memory and stages them at the runner.
 
     `staged_version` is the version whose chunks are staged as they arrive. `clock`
-    reads boot time in seconds.
+    reads boot time in seconds. `calls` holds the calls that may be outstanding.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         driver: RunnerDriver,
         model: str,
         clock: Callable[[], float] = get_boottime,
+        calls: StagingCalls | None = None,
     ) -> None:
+        self.calls = calls or StagingCalls(clock)
         self._driver = driver
         self._model = model
         self._clock = clock
@@ -69,14 +74,19 @@
         """Keep a checked chunk, and stage it if it belongs to the staged version."""
         self._chunks[version][index] = data
         async with self._staging_lock:
-            if version != self.staged_version:
+            if version != self.staged_version or not self.calls.is_free_for(version):
                 return
             try:
-                await self._driver.put_chunk(self._model, index, data)
+                await self._put(version, index, data)
             except PlatformError as exc:
                 # `load` stages missing chunks before it orders the runner.
                 log.routine("chunk_not_staged", index=index, reason=exc)
 
+    async def _put(self, version: str, index: int, data: bytes) -> None:
+        await self.calls.run(
+            version, index, lambda: self._driver.put_chunk(self._model, index, data)
+        )
+
     async def get_chunk(self, version: str, index: int) -> bytes:
         """Return a chunk from memory."""
         data = self._chunks[version].get(index)
@@ -108,6 +118,7 @@
             if compute_digest(data) == digest:
                 held[index] = data
                 found += 1
+                self.calls.record_staged(manifest.version)
         return found
 
     async def _read_staged(self, index: int) -> bytes | None:
@@ -162,7 +173,7 @@
                 continue
             replaced += 1
             try:
-                await self._driver.put_chunk(self._model, index, data)
+                await self._put(manifest.version, index, data)
             except PlatformError as exc:
                 raise EngineOrderError(f"chunk {index} not staged: {exc}") from exc
         return replaced
@@ -173,6 +184,8 @@
         `fence` is the number of earlier orders that the runner must have received.
         """
         async with self._staging_lock:
+            if not self.calls.is_free_for(manifest.version):
+                raise EngineOrderError("calls of another version are outstanding")
             self.staged_version = manifest.version
             for _ in range(CHECK_ROUNDS):
                 expires_at = self._clock() + CHECK_VALID_S
@@ -188,8 +201,12 @@
     async def _order(self, manifest: Manifest, fence: int, expires_at: float) -> bool:
         """Order the runner to load; return whether the order was sent in time."""
         try:
-            await self._driver.load(
-                self._model, int(manifest.version), fence, expires_at
+            await self.calls.run(
+                manifest.version,
+                ORDER,
+                lambda: self._driver.load(
+                    self._model, int(manifest.version), fence, expires_at
+                ),
             )
         except OrderExpiredError as exc:
             log.event("load_order_expired", version=manifest.version, reason=exc)
