Log how late a request is sent and to how silent a runner

The logs could not tell apart why a request reached its runner after its caller had left: sent in the last moment, sent to a runner of which nothing was heard, on its way for long, or read late by the entry.

`request_sent` and `place_granted` now state the time that the caller still waits (`left`) and the time for which the runner has left requests unanswered (`silence`); `request_cancelled` states the runner, the time since the send and how late the close may have been read (`read_delay`, from the monitor of stalls). No decision changes.

--- a/packages/core/src/marigold/core/stalls.py
+++ b/packages/core/src/marigold/core/stalls.py
@@ -72,3 +72,7 @@
                 break
             earliest = start
         return earliest
+
+    def get_read_delay(self) -> float:
+        """Return the seconds for which input handled now may have waited."""
+        return self._clock() - self.get_earliest_arrival()
--- a/packages/entry/src/marigold/entry/hub/dispatch.py
+++ b/packages/entry/src/marigold/entry/hub/dispatch.py
@@ -172,18 +172,23 @@
     def _grant(
         self, channel: Channel, placement: PendingPlacement, place: Place
     ) -> None:
+        now = self._monotonic()
         if isinstance(place, RunnerView):
             version = place.get_version(placement.req.model) or 0
             runner, started = place.id, place.runner.started_ms
+            silence = place.get_silence(now)
         else:
             runner, started, version = place.runner, place.started, place.version
+            silence = None
         log.routine(
             "place_granted",
             request=placement.req.id,
             runner=runner,
             entry=channel.peer.process,
             version=version,
-            waited=self._monotonic() - placement.req.arrived_at,
+            waited=now - placement.req.arrived_at,
+            left=placement.req.start_deadline - now,
+            silence=silence,
         )
         channel.put(
             PlaceGrant(
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -325,6 +325,7 @@
         )
         ctx.is_started = False
         ctx.sent_at = now
+        ctx.sent_to = view.id
         ctx.sent_version = view.get_version(ctx.model) or 0
         ctx.sends += 1
         version = view.get_version(ctx.model) if ctx.model else None
@@ -341,6 +342,8 @@
             load=view.get_load(now),
             version=runner_head.version,
             waited=now - ctx.arrived_at,
+            left=ctx.start_deadline - now,
+            silence=view.get_silence(now),
             sends=ctx.sends,
             start_window=start_window,
             pending=view.count_pending_prefills(now),
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -7,6 +7,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestPayloadError
@@ -44,7 +45,11 @@
 
 
 class CallerFrontend:
-    """Answers callers' requests."""
+    """Answers callers' requests.
+
+    `get_read_delay` returns the seconds for which input that is handled now may have
+    waited, as this process did not run.
+    """
 
     def __init__(
         self,
@@ -56,7 +61,9 @@
         rng: random.Random,
         data_centre: str,
         region: str,
+        get_read_delay: Callable[[], float],
     ) -> None:
+        self._get_read_delay = get_read_delay
         self._data_centre = data_centre
         self._region = region
         self._source = source
@@ -288,12 +295,17 @@
             is_abandoned = True
             cause = "its caller left"
         write = log.routine if is_abandoned else log.event
+        now = time.monotonic()
+        is_sent = ctx is not None and bool(ctx.sends)
         write(
             "request_cancelled",
             request=head.attempt,
             cause=cause,
-            seconds=time.monotonic() - arrived_at,
-            sends=0 if ctx is None else ctx.sends,
+            seconds=now - arrived_at,
+            sends=ctx.sends if ctx is not None else 0,
+            runner=ctx.sent_to if ctx is not None else "",
+            since_sent=now - ctx.sent_at if ctx is not None and is_sent else None,
+            read_delay=self._get_read_delay(),
         )
 
 
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -185,6 +185,7 @@
             self._rng,
             cfg.data_centre,
             region,
+            self._stalls.get_read_delay,
         )
 
     def _build_hub(self, feeds: Feeds) -> None:
--- a/packages/entry/src/marigold/entry/relay/requests.py
+++ b/packages/entry/src/marigold/entry/relay/requests.py
@@ -91,9 +91,9 @@
 
     `timeout` is the seconds that the caller allows, None if it states none. The whole
     answer is due at `deadline`, a time. `sends` counts the attempts that were sent to a
-    runner. The last one was sent at `sent_at`, to a runner with weights of
-    `sent_version`, 0 if it is not known. `refused_on` holds, by runner, the connection
-    on which the request was last refused.
+    runner. The last one was sent at `sent_at`, to the runner with the id `sent_to` and
+    weights of `sent_version`, 0 if it is not known. `refused_on` holds, by runner, the
+    connection on which the request was last refused.
     """
 
     __slots__ = (
@@ -103,6 +103,7 @@
         "route",
         "sends",
         "sent_at",
+        "sent_to",
         "sent_version",
     )
 
@@ -141,6 +142,7 @@
         self.refused_on: dict[str, ReusableProtocol] = {}
         self.sends = 0
         self.sent_at = 0.0
+        self.sent_to = ""
         self.sent_version = 0
 
     def may_retry(self) -> bool:
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -154,9 +154,16 @@
             return listed
         return max(listed or 0, self.version_seen)
 
-    def is_silent(self, now: float) -> bool:
-        """Return whether the runner has requests in flight and sends nothing."""
+    def get_silence(self, now: float) -> float:
+        """Return the seconds for which the runner has left requests unanswered.
+
+        Zero when it has none, or has just sent something.
+        """
         if not self.in_flight:
-            return False
+            return 0.0
         oldest = next(iter(self.in_flight.values()))
-        return now - max(oldest, self.last_byte_at) > SILENCE_S
+        return now - max(oldest, self.last_byte_at)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether the runner has requests in flight and sends nothing."""
+        return self.get_silence(now) > SILENCE_S
