Remember that a runner is silent when its requests are abandoned

What callers saw: GONE. Requests were sent to runners whose hosts stood still, and reached them after their callers had left.

Cause: the silence of a runner was derived from the requests in flight. As their callers left, the places were released, the runner was no longer silent, and the hub granted the places at once to the next requests, which were the ones that had waited longest. Where all runners of a cell were silent they counted as usable anyway.

Requests that end without a sign of the runner now count until it sends something, be it an answer, a refusal or a report of its companion. A runner that has been silent for 0.9 s is only probed, by one request at a time, the one whose probe has been due for longest first; and not at all for 5 s after a report of its companion, as the next report shows that the host is back.

Ruled out: a place given back unused within 0.05 s is no evidence, so that requests which were never sent leave no trace.

--- a/packages/entry/src/marigold/entry/hub/dispatch.py
+++ b/packages/entry/src/marigold/entry/hub/dispatch.py
@@ -29,6 +29,9 @@
 log = get_logger(__name__)
 
 
+# Outcomes of a request for which the runner has sent something.
+ANSWERED_OUTCOMES = frozenset({"done", "misdirected", "full", "leaving"})
+
 Place = RunnerView | RemotePlace
 
 
@@ -220,9 +223,10 @@
 
     def _record_outcome(self, view: RunnerView, outcome: str, backoff: float) -> None:
         now = self._monotonic()
+        if outcome in ANSWERED_OUTCOMES:
+            view.record_progress(now)
         match outcome:
             case "done":
-                view.record_progress(now)
                 view.health.record_success(now)
             case "failed":
                 view.health.record_failure(now)
--- a/packages/entry/src/marigold/entry/relay/attempts.py
+++ b/packages/entry/src/marigold/entry/relay/attempts.py
@@ -73,9 +73,11 @@
     """Set the outcome of a failed attempt, and record it in the runner's health."""
     match exc:
         case NotRunError(is_misdirected=False):
+            view.record_progress(now)
             outcome.name = "full"
             outcome.backoff = exc.retry_after or FULL_BACKOFF_S
         case NotRunError():
+            view.record_progress(now)
             outcome.name = "misdirected"
             outcome.backoff = MISDIRECTED_BACKOFF_S
         case TooOldError() | SuspectedMeanwhileError():
--- a/packages/entry/src/marigold/entry/relay/health.py
+++ b/packages/entry/src/marigold/entry/relay/health.py
@@ -24,14 +24,17 @@
 
 
 class RunnerHealth:
-    """Failure score of one runner; times are seconds of a steady clock."""
+    """Failure score of one runner; times are seconds of a steady clock.
 
-    __slots__ = ("_probe_at", "_probe_delay", "_score", "_updated_at")
+    The next probe is due at `probe_at`.
+    """
+
+    __slots__ = ("_probe_delay", "_score", "_updated_at", "probe_at")
 
     def __init__(self) -> None:
         self._score = 0.0
         self._updated_at = 0.0
-        self._probe_at = 0.0
+        self.probe_at = 0.0
         self._probe_delay = PROBE_DELAY_S
 
     def get_failure_score(self, now: float) -> float:
@@ -57,7 +60,7 @@
         if self.is_ejected(now):
             if was_ejected:
                 self._probe_delay = min(self._probe_delay * 2, PROBE_DELAY_MAXIMUM_S)
-            self._probe_at = now + self._probe_delay
+            self.probe_at = now + self._probe_delay
 
     def _set(self, score: float, now: float) -> None:
         self._score = score
@@ -69,8 +72,8 @@
 
     def is_probe_due(self, now: float) -> bool:
         """Return whether a probe may be sent to the runner."""
-        return now >= self._probe_at
+        return now >= self.probe_at
 
     def record_probe(self, now: float) -> None:
         """Record a probe and schedule the next one."""
-        self._probe_at = now + self._probe_delay
+        self.probe_at = now + self._probe_delay
--- a/packages/entry/src/marigold/entry/relay/placement.py
+++ b/packages/entry/src/marigold/entry/relay/placement.py
@@ -33,6 +33,9 @@
 # Requests that a runner with an open connection may hold beyond the least loaded one
 # and still be preferred.
 AFFINITY_LOAD_SLACK = 3
+# Seconds after the last report of a runner's companion in which its host, rather than
+# the companion alone, is taken to have failed; hosts stand still for some seconds.
+REPORT_WAIT_S = 5.0
 # Seconds for which an idle connection to a runner is kept.
 CONNECTION_IDLE_S = 4.0
 
@@ -76,13 +79,16 @@
     ) -> RunnerView | None:
         """Return a runner with capacity, or None when the request has to wait."""
         if req.is_idempotent:
-            probes = (view for view in views if self._is_probe(view, engine, now))
-            probe = next(probes, None)
-            if probe is not None:
-                probe.health.record_probe(now)
-                return probe
-        healthy = [view for view in views if _is_healthy(view, now)]
-        usable = healthy or views
+            probes = [view for view in views if self._is_probe(view, engine, now)]
+            if probes:
+                return _probe_first(probes, now)
+        responsive = [view for view in views if not view.is_unresponsive(now)]
+        healthy = [view for view in responsive if not view.health.is_ejected(now)]
+        usable = healthy or responsive
+        if not usable:
+            # A request that may run only once probes as well: it beats refusing all.
+            probes = [view for view in views if _may_probe_unresponsive(view, now)]
+            return _probe_first(probes, now) if probes else None
         free = [view for view in usable if self.has_capacity(view, engine, now)]
         if not free:
             return None
@@ -114,13 +120,29 @@
         self, view: RunnerView, engine: EngineModel | None, now: float
     ) -> bool:
         health = view.health
+        if view.is_unresponsive(now):
+            return _may_probe_unresponsive(view, now)
         if not health.is_ejected(now) or not health.is_probe_due(now):
             return False
-        return not view.is_silent(now) and self.has_capacity(view, engine, now)
+        return self.has_capacity(view, engine, now)
 
 
-def _is_healthy(view: RunnerView, now: float) -> bool:
-    return not view.health.is_ejected(now) and not view.is_silent(now)
+def _probe_first(views: Sequence[RunnerView], now: float) -> RunnerView:
+    """Return the runner whose probe has been due for longest, and record the probe."""
+    probe = min(views, key=lambda view: view.health.probe_at)
+    probe.health.record_probe(now)
+    return probe
+
+
+def _may_probe_unresponsive(view: RunnerView, now: float) -> bool:
+    """Return whether a request may find out if an unresponsive runner is back.
+
+    One at a time, since all that is sent to a host that stands still reaches it late,
+    and none while a report of its companion can be expected to show that it is back.
+    """
+    if view.in_flight or now - view.reported_at < REPORT_WAIT_S:
+        return False
+    return view.health.is_probe_due(now)
 
 
 def _choose_connected(
--- a/packages/entry/src/marigold/entry/relay/scheduler.py
+++ b/packages/entry/src/marigold/entry/relay/scheduler.py
@@ -202,6 +202,7 @@
 
     def release(self, req: PlacementRequest, view: RunnerView) -> None:
         """Release the slot that a request held at a runner."""
+        view.record_unanswered(req, self._monotonic())
         view.finish(req)
         self.start_waiting(req.service, view)
 
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from marigold.core.platform.adapter import LoadReport
 from marigold.core.schema.generated.deployment import Runner
 from marigold.core.schema.generated.messages import RunnerLoad
@@ -19,6 +21,9 @@
 # Seconds without a byte after which a runner with requests in flight counts as silent;
 # several passes of the slowest engine.
 SILENCE_S = 0.9
+# A place that is given back sooner, in seconds, says nothing about the runner: the
+# request was not sent, or there was no time to answer it.
+GIVEN_BACK_S = 0.05
 
 
 class RunnerView:
@@ -27,10 +32,12 @@
     `region` is the region of its data centre. `slowdown` is the factor by which the
     engine reports to be slower than its cost model. `_other_load` is the number of
     requests of other processes in the last load report, `_other_waiting` how many of
-    them had not started.
+    them had not started. `_abandoned_at` is when the first request was sent that ended
+    without a sign of the runner, None if it has sent something since.
     """
 
     __slots__ = (
+        "_abandoned_at",
         "_last_used_at",
         "_load_at",
         "_other_load",
@@ -43,6 +50,7 @@
         "is_paused",
         "last_byte_at",
         "region",
+        "reported_at",
         "runner",
         "slowdown",
         "version_seen",
@@ -54,6 +62,9 @@
         self.health = RunnerHealth()
         self.in_flight: dict[PlacementRequest, float] = {}
         self.last_byte_at = 0.0
+        self._abandoned_at: float | None = None
+        # When the companion of the runner last reported.
+        self.reported_at = -math.inf
         self.delisted_at: float | None = None
         self.blocked_until = 0.0
         self.is_leaving = False
@@ -87,7 +98,7 @@
 
     def start(self, req: PlacementRequest, now: float) -> None:
         """Add a request that is sent to the runner."""
-        if not self.in_flight:
+        if not self.in_flight and self._abandoned_at is None:
             self.last_byte_at = now
         self.in_flight[req] = now
         self._last_used_at[req.entry] = now
@@ -96,6 +107,18 @@
         """Remove a request that has ended."""
         self.in_flight.pop(req, None)
 
+    def record_unanswered(self, req: PlacementRequest, now: float) -> None:
+        """Remember a request that ends before the runner has sent anything.
+
+        Otherwise a runner that is silent would get the next request as soon as the
+        caller of the last one has left.
+        """
+        sent_at = self.in_flight.get(req)
+        if sent_at is None or self.last_byte_at > sent_at:
+            return
+        if self._abandoned_at is None and now - sent_at >= GIVEN_BACK_S:
+            self._abandoned_at = sent_at
+
     def get_last_used_at(self, entry: str) -> float:
         """Return when an entry last used the runner, and so had a connection."""
         return self._last_used_at.get(entry, 0.0)
@@ -103,6 +126,7 @@
     def record_progress(self, now: float) -> None:
         """Record that the runner sent data."""
         self.last_byte_at = now
+        self._abandoned_at = None
 
     def update_load(self, report: LoadReport, now: float) -> None:
         """Update the load from a load report of the runner."""
@@ -114,6 +138,7 @@
 
     def apply_report(self, load: RunnerLoad, now: float) -> None:
         """Update the view from a report of the runner's companion."""
+        self.reported_at = now
         self.is_paused = load.paused
         self.slowdown = max(load.pace, 1.0)
         if load.version:
@@ -157,13 +182,21 @@
     def get_silence(self, now: float) -> float:
         """Return the seconds for which the runner has left requests unanswered.
 
-        Zero when it has none, or has just sent something.
+        Zero when it has none, or has just sent something. Requests that have ended
+        unanswered count until the runner sends something.
         """
-        if not self.in_flight:
-            return 0.0
-        oldest = next(iter(self.in_flight.values()))
-        return now - max(oldest, self.last_byte_at)
+        oldest = next(iter(self.in_flight.values()), math.inf)
+        if self._abandoned_at is not None:
+            oldest = min(oldest, self._abandoned_at)
+        return max(now - max(oldest, self.last_byte_at), 0.0)
+
+    def is_unresponsive(self, now: float) -> bool:
+        """Return whether the runner may only be probed, as it has long been silent."""
+        return self.get_silence(now) > SILENCE_S
 
     def is_silent(self, now: float) -> bool:
         """Return whether the runner has requests in flight and sends nothing."""
-        return self.get_silence(now) > SILENCE_S
+        if not self.in_flight:
+            return False
+        oldest = next(iter(self.in_flight.values()))
+        return now - max(oldest, self.last_byte_at) > SILENCE_S
--- a/packages/entry/tests/abandoned_requests_tests.py
+++ b/packages/entry/tests/abandoned_requests_tests.py
@@ -129,10 +129,8 @@
     async def test_released_place_is_not_granted_again(self):
         await self.fall_silent(self.views[0])
         for number in range(12):
-            ctx, fut = await self.submit(f"n{number}")
-            if fut.result() is self.views[0]:
-                # One request at a time finds out whether the runner answers again.
-                self.assertEqual(list(self.views[0].in_flight), [ctx])
+            await self.submit(f"n{number}")
+        # One request at a time finds out whether the runner answers again.
         self.assertLessEqual(len(self.views[0].in_flight), 1)
 
     async def test_request_that_waits_gets_no_silent_runner_in_the_last_moment(self):
@@ -229,6 +227,17 @@
         grants = [item for item in granted if isinstance(item, PlaceGrant)]
         self.assertLessEqual(len(grants), 1)
 
+    async def test_silent_host_is_not_probed_while_its_companion_may_report(self):
+        load = RunnerLoad(running=0, waiting=0, paused=False, pace=1.0, started_ms=1)
+        self.view.apply_report(load, self.now)
+        await self.send(self.make_ask(1))
+        self.now += SILENCE_S * 1.1
+        answers = await self.send(PlaceEnd(ask=1, outcome="unused"))
+        for number in range(4):
+            answers += await self.send(self.make_ask(10 + number))
+            self.now += PATIENCE_S / 4
+        self.assertNotIn(PlaceGrant, [type(item) for item in answers])
+
     async def test_report_of_the_companion_shows_that_the_runner_is_back(self):
         await self.send(self.make_ask(1))
         self.now += PATIENCE_S
--- a/packages/standins/src/marigold/standins/bench/load_run.py
+++ b/packages/standins/src/marigold/standins/bench/load_run.py
@@ -219,6 +219,7 @@
                 continue
             report = LoadReport(engine.running, engine.waiting, self.fleet.model.slots)
             for place, view in views.items():
+                view.reported_at = get_time()
                 view.record_progress(get_time())
                 view.update_load(report, get_time())
                 self.schedulers[place].start_waiting("model", view)
