Send no request that its caller leaves before it can begin

What callers saw: GONE, and streams that waited to the end for nothing.

Cause: the end of a caller's patience was checked on a timer only, against the start that the least busy runner could offer by its cost model. When a place became free the next request was sent whatever time was left, and as late requests go in the order of arrival it was the one with the least. Nothing was known of the path.

- The scheduler sends a request only to a runner that would begin it before the caller leaves: by the cost model, by the starts measured there (mean and deviation as of a round trip), and by its silence.
A request that comes too late for all runners is refused at once; others behind it are not held up.
- An entry looks once more before it sends, with its own measurements of the runner and of the path to its data centre.
Starts that were missed count as a lower bound.
- The caller of a stream that has begun waits from its last event on, so that resuming it is not refused for the end of its first wait.

--- a/packages/entry/src/marigold/entry/hub/dispatch.py
+++ b/packages/entry/src/marigold/entry/hub/dispatch.py
@@ -206,7 +206,7 @@
         if isinstance(placement.place, RemotePlace):
             placement.place.mark_started()
         elif placement.place is not None:
-            placement.place.record_progress(self._monotonic())
+            placement.place.record_start(placement.req, self._monotonic())
             self._scheduler.start_waiting(placement.req.service, placement.place)
 
     def _finish(
@@ -217,6 +217,8 @@
             place.release(outcome, backoff)
         elif place is not None:
             self._record_outcome(place, outcome, backoff)
+            if outcome in ("unused", "failed"):
+                place.record_missing_start(placement.req, self._monotonic())
             self._scheduler.release(placement.req, place)
         elif placement.fut is not None:
             self._scheduler.cancel_request(placement.req, placement.fut)
--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -16,7 +16,7 @@
 from marigold.entry.relay.exceptions import BrokenAnswerError, ConnectionLostError
 from marigold.entry.relay.forwarding import RunnerAnswer
 from marigold.entry.relay.metrics import RelayMetrics
-from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.requests import RequestContext, get_stream_timeout
 from marigold.entry.relay.streams import (
     Event,
     EventSequence,
@@ -110,6 +110,7 @@
         "_metrics",
         "_monotonic",
         "_on_start",
+        "_relayed_at",
         "_scheduler",
         "response",
         "sequence",
@@ -124,7 +125,7 @@
         ctx: RequestContext,
         last_event: str,
         is_closing: Callable[[], bool],
-        on_start: Callable[[], None],
+        on_start: Callable[[RunnerView], None],
         monotonic: Callable[[], float] = time.monotonic,
     ) -> None:
         self._on_start = on_start
@@ -135,9 +136,17 @@
         self._ctx = ctx
         self._is_closing = is_closing
         self._monotonic = monotonic
+        self._relayed_at: float | None = None
         self.sequence = EventSequence(parse_number(last_event))
         self.response: web.StreamResponse | None = None
 
+    def extend_patience(self) -> None:
+        """Let the caller of a stream that has begun wait from its last event on."""
+        if self._relayed_at is not None:
+            ctx = self._ctx
+            leaves_at = self._relayed_at + get_stream_timeout(ctx.route)
+            ctx.start_deadline = min(leaves_at, ctx.deadline)
+
     def start(
         self, view: RunnerView, answer: RunnerAnswer, outcome: AttemptOutcome
     ) -> AnswerReader:
@@ -272,7 +281,8 @@
         data = b"".join(event.data for event in events)
         if any(event.id is not None for event in events):
             # Comments are no progress: a stalled stream sends them as keep-alives.
-            view.record_progress(self._monotonic())
+            self._relayed_at = now = self._monotonic()
+            view.record_progress(now)
             watchdog.record_event()
         elif not self._ctx.is_started:
             reader.preamble += data
@@ -281,9 +291,9 @@
             return
         data, reader.preamble = reader.preamble + data, b""
         if not self._ctx.is_started:
+            self._on_start(view)
             self._scheduler.mark_started(self._ctx)
             self._record_first_event(view, watchdog)
-            self._on_start()
         if self.response is None:
             answer = reader.answer
             headers = self._header_codec.make_caller_headers(answer.headers)
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -37,6 +37,7 @@
     CallerRequest,
 )
 from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.scheduler import LATE_REASON
 from marigold.entry.relay.stalled import StalledAttempts
 from marigold.entry.relay.views import RunnerView
 from marigold.entry.relay.watchdog import WITHDRAW_LEAD_S, AttemptWatchdog
@@ -122,6 +123,7 @@
 
     async def _try_runners(self) -> web.StreamResponse:
         while True:
+            self._answer.extend_patience()
             if self._stalled:
                 result = await self._try_beside(self.response)
             else:
@@ -170,10 +172,25 @@
         finally:
             server.scheduler.release(ctx, view, outcome.name, outcome.backoff)
 
-    def _record_start(self) -> None:
+    def _record_start(self, view: RunnerView) -> None:
         """Record that a runner began to answer; a stalled attempt is not needed now."""
         self._stalled.close()
-        self._server.suspects.record_start(self._ctx.id, self._req)
+        server, ctx = self._server, self._ctx
+        now = server.monotonic()
+        view.record_start(ctx, now)
+        server.path_delays.record(view.runner.data_centre, now - ctx.sent_at, now)
+        server.suspects.record_start(ctx.id, self._req)
+
+    def _record_missing_start(self, view: RunnerView) -> None:
+        """Record that a stream ends before its runner has begun to answer."""
+        server, ctx = self._server, self._ctx
+        if ctx.is_started or not ctx.route.is_stream:
+            return
+        now = server.monotonic()
+        view.record_missing_start(ctx, now)
+        server.path_delays.record_minimum(
+            view.runner.data_centre, now - ctx.sent_at, now
+        )
 
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
@@ -200,6 +217,7 @@
         except BaseException:
             # The caller left, time ran out, or nothing handles the exception.
             if trial.is_inconclusive:
+                self._record_missing_start(view)
                 server.record_abandoned(trial, self._make_crash(view, trial))
             raise
         finally:
@@ -238,6 +256,29 @@
                 self._server.add_jitter(REFUSED_RETRY_S),
             )
 
+    def _require_time(self, view: RunnerView, now: float) -> None:
+        """Raise when the caller leaves before the runner could begin the answer.
+
+        The place may have come late, or the path from this entry to the runner may be
+        slower than from others.
+        """
+        ctx = self._ctx
+        expected = MINIMUM_REMAINING_S
+        if ctx.route.is_stream:
+            path_delay = self._server.path_delays.get(view.runner.data_centre, now)
+            expected = max(expected, view.start_delays.get(now), path_delay)
+        if now + expected >= ctx.start_deadline:
+            log.event(
+                "send_avoided",
+                request=ctx.id,
+                runner=view.id,
+                left=ctx.start_deadline - now,
+                expected=expected,
+            )
+            raise self.make_error(
+                f"{view.id}: {LATE_REASON}", self._server.add_jitter(REFUSED_RETRY_S)
+            )
+
     def _record_failure(
         self, view: RunnerView, exc: RunnerError, outcome: AttemptOutcome
     ) -> None:
@@ -257,6 +298,8 @@
             after=now - self._ctx.sent_at,
         )
         record_failed_attempt(view, exc, outcome, now)
+        if isinstance(exc, SilentRunnerError):
+            self._record_missing_start(view)
         if outcome.backoff:
             self._server.scheduler.block(view, outcome.backoff)
         if view.is_leaving:
@@ -313,6 +356,7 @@
         if remaining < MINIMUM_REMAINING_S:
             raise TimeoutError
         self._require_key()
+        self._require_time(view, now)
         if not server.suspects.is_still_allowed(self._req, trial):
             raise SuspectedMeanwhileError(
                 f"{view.id}: requests like this one are suspected"
--- a/packages/entry/src/marigold/entry/relay/placement.py
+++ b/packages/entry/src/marigold/entry/relay/placement.py
@@ -16,7 +16,7 @@
 from marigold.core.schema.generated.deployment import EngineModel
 from marigold.entry.relay.estimates import estimate_start_delay, get_prefill_time
 from marigold.entry.relay.requests import PlacementRequest
-from marigold.entry.relay.views import RunnerView
+from marigold.entry.relay.views import SILENCE_S, RunnerView
 
 # Requests that a runner may hold beyond its slots, so that a freed slot is filled
 # before the schedulers learn of it.
@@ -43,6 +43,12 @@
 class Placement(ABC):
     """Policy that chooses among the runners that may take a request."""
 
+    def has_capacity(
+        self, view: RunnerView, engine: EngineModel | None, now: float
+    ) -> bool:
+        """Return whether a runner may be sent one more request."""
+        return True
+
     @abstractmethod
     def choose(
         self,
@@ -161,7 +167,19 @@
     return latest if is_kept else None
 
 
-def _get_cost(
+def estimate_start(
+    req: PlacementRequest, engine: EngineModel | None, view: RunnerView, now: float
+) -> float:
+    """Return the seconds in which a runner begins a request that is sent to it now.
+
+    A runner that has been silent for a while may stay so for as long again.
+    """
+    expected = _estimate_by_model(req, engine, view, now)
+    silence = min(view.get_silence(now), SILENCE_S)
+    return max(expected, view.start_delays.get(now), silence)
+
+
+def _estimate_by_model(
     req: PlacementRequest, engine: EngineModel | None, view: RunnerView, now: float
 ) -> float:
     usual_prompt = engine.usual_prompt if engine is not None else 0
@@ -172,7 +190,13 @@
         view.get_prefill_backlog(now, usual_prompt),
         req.prompt_tokens,
     )
-    expected *= view.slowdown
+    return expected * view.slowdown
+
+
+def _get_cost(
+    req: PlacementRequest, engine: EngineModel | None, view: RunnerView, now: float
+) -> float:
+    expected = _estimate_by_model(req, engine, view, now)
     if view.region != req.region:
         expected += OTHER_REGION_PENALTY_S
     elif view.runner.data_centre != req.data_centre:
--- a/packages/entry/src/marigold/entry/relay/scheduler.py
+++ b/packages/entry/src/marigold/entry/relay/scheduler.py
@@ -20,7 +20,7 @@
 from marigold.entry.relay.estimates import estimate_start_delay
 from marigold.entry.relay.exceptions import NotServedError
 from marigold.entry.relay.minimum_versions import MinimumVersions
-from marigold.entry.relay.placement import Placement
+from marigold.entry.relay.placement import Placement, estimate_start
 from marigold.entry.relay.queueing import DeadlineAdmission, QueueOrder, StartRate
 from marigold.entry.relay.requests import PlacementRequest
 from marigold.entry.relay.views import RunnerView
@@ -40,6 +40,8 @@
 # Seconds before a version becomes the minimum in which runners with older weights
 # get only requests that they can start at once and that may run more than once.
 VERSION_LEAD_S = 1.0
+# Why a request is refused whose caller leaves before any runner could begin it.
+LATE_REASON = "its caller leaves before a runner could begin it"
 # Retry-After when no runner of the service can take the request now or soon. A runner
 # takes about this long to start, and callers wait no longer.
 NO_RUNNER_RETRY_S = 2.0
@@ -61,12 +63,19 @@
 
 
 class _Queue:
+    """Waiting requests of a service, with figures over all of its runners.
+
+    A request that is sent now is expected to begin after `start_delay` seconds, and
+    seldom after `start_bound`.
+    """
+
     __slots__ = (
         "available_at",
         "eligible",
         "free_slots",
         "rate",
         "refreshed_at",
+        "start_bound",
         "start_delay",
         "waiting",
     )
@@ -76,6 +85,7 @@
         self.rate = StartRate(now)
         self.free_slots = 0.0
         self.start_delay = 0.0
+        self.start_bound = 0.0
         self.refreshed_at = -math.inf
         self.available_at = 0.0
         self.eligible: dict[int | None, bool] = {}
@@ -149,7 +159,7 @@
         queue = self._queues[req.service]
         fut: asyncio.Future[RunnerView] = asyncio.get_running_loop().create_future()
         try:
-            if not queue.waiting and self._start(req, fut, self._sample(req)):
+            if not queue.waiting and self._start(req, fut, self._sample(req)) is None:
                 return fut
             self._check_servable(req, queue)
         except NotServedError as exc:
@@ -175,10 +185,11 @@
 
     def acquire_now(self, req: PlacementRequest) -> RunnerView | None:
         """Return a runner that can start another cell's request at once, or None."""
-        view = self._place(req, self._sample(req))
+        now = self._monotonic()
+        view, _ = self._place(req, self._sample(req), now)
         if view is None or self._is_full(view):
             return None
-        view.start(req, self._monotonic())
+        view.start(req, now)
         return view
 
     def count_free_slots(self, service: str) -> int:
@@ -223,14 +234,28 @@
     def _start_waiting(
         self, service: str, queue: _Queue, views: Sequence[RunnerView]
     ) -> None:
-        while queue.waiting:
+        waiting = list(queue.waiting)
+        while waiting:
             now = self._monotonic()
-            start_delay = self._refresh(service, queue, now).start_delay
-            req = self._order.pick(list(queue.waiting), start_delay, now)
-            fut = queue.waiting[req]
-            if not fut.done() and not self._start(req, fut, views):
-                return
-            queue.waiting.pop(req, None)
+            self._refresh(service, queue, now)
+            req = self._order.pick(waiting, queue.start_delay, now)
+            waiting.remove(req)
+            fut = queue.waiting.get(req)
+            if fut is None:
+                continue
+            if not self._admission.can_start_in_time(req, queue.start_bound, now):
+                self._refuse(queue, req, now, LATE_REASON)
+                continue
+            earliest = None if fut.done() else self._start(req, fut, views)
+            if earliest is None:
+                queue.waiting.pop(req, None)
+            else:
+                # What is free comes too late for all whose callers leave before that.
+                waiting = [
+                    item
+                    for item in waiting
+                    if self._admission.can_start_in_time(item, earliest, now)
+                ]
 
     def _sample(self, req: PlacementRequest) -> Sequence[RunnerView]:
         return self._sample_service(req.service, None)
@@ -251,19 +276,23 @@
         req: PlacementRequest,
         fut: asyncio.Future[RunnerView],
         views: Sequence[RunnerView],
-    ) -> bool:
-        """Assign a request to one of `views` or to another cell, if possible."""
-        view = self._place(req, views)
+    ) -> float | None:
+        """Assign a request to one of `views` or to another cell, if possible.
+
+        Return None then, else the seconds in which the first of the free runners would
+        begin it if that is too late, infinity if none can be had.
+        """
+        now = self._monotonic()
+        view, earliest = self._place(req, views, now)
         if self._overflow is not None and (view is None or self._is_full(view)):
             if self._overflow.offer(req, fut):
-                return True
+                return None
         if view is None:
-            return False
-        now = self._monotonic()
+            return earliest
         view.start(req, now)
         self._queues[req.service].rate.record_start(now)
         fut.set_result(view)
-        return True
+        return None
 
     def _is_full(self, view: RunnerView) -> bool:
         return view.get_load(self._monotonic()) >= view.runner.slots
@@ -301,15 +330,32 @@
         return cutoff - self._boottime()
 
     def _place(
-        self, req: PlacementRequest, views: Sequence[RunnerView]
-    ) -> RunnerView | None:
-        now = self._monotonic()
+        self, req: PlacementRequest, views: Sequence[RunnerView], now: float
+    ) -> tuple[RunnerView | None, float]:
+        """Return the runner for a request, None if there is none now.
+
+        If the free ones would all begin it too late, also return the seconds in which
+        the first of them would, else infinity.
+        """
+        engine = self._get_engine(req.service)
         usable = self._filter_eligible(req, views, now)
         if req.tried:
             fresh = [view for view in usable if view.id not in req.tried]
             usable = fresh or usable
-        engine = self._get_engine(req.service)
-        return self._placement.choose(req, engine, usable, now, self._rng)
+        starts = {
+            view: estimate_start(req, engine, view, now)
+            for view in usable
+            if self._placement.has_capacity(view, engine, now)
+        }
+        timely = [
+            view
+            for view, start in starts.items()
+            if self._admission.can_start_in_time(req, start, now)
+        ]
+        if starts and not timely:
+            return None, min(starts.values())
+        view = self._placement.choose(req, engine, timely, now, self._rng)
+        return view, math.inf
 
     def _filter_eligible(
         self, req: PlacementRequest, views: Sequence[RunnerView], now: float
@@ -336,7 +382,7 @@
         """Recompute the figures over all runners of a service, once per tick."""
         if now - queue.refreshed_at >= TICK_S:
             queue.refreshed_at = now
-            queue.start_delay = self._get_start_delay(service, now)
+            queue.start_delay, queue.start_bound = self._get_start_delays(service, now)
             listed = [
                 view
                 for view in self._directory.get_listed(service)
@@ -374,9 +420,11 @@
             )
         return eligible[minimum]
 
-    def _get_start_delay(self, service: str, now: float) -> float:
+    def _get_start_delays(self, service: str, now: float) -> tuple[float, float]:
+        """Return the shortest start by the cost model, and with what was measured."""
         engine = self._get_engine(service)
         usual_prompt = engine.usual_prompt if engine is not None else 0
+        views = self._sample_service(service, None)
         starts = [
             estimate_start_delay(
                 engine,
@@ -385,9 +433,13 @@
                 0.0,
                 usual_prompt,
             )
-            for view in self._sample_service(service, None)
+            for view in views
+        ]
+        bounds = [
+            max(start, view.start_delays.get(now))
+            for start, view in zip(starts, views, strict=True)
         ]
-        return min(starts, default=0.0)
+        return min(starts, default=0.0), min(bounds, default=0.0)
 
     def _check_servable(self, req: PlacementRequest, queue: _Queue) -> None:
         now = self._monotonic()
@@ -397,6 +449,8 @@
                 " or newer",
                 NO_RUNNER_RETRY_S,
             )
+        if not self._admission.can_start_in_time(req, queue.start_bound, now):
+            raise self._make_refusal(queue, now, LATE_REASON)
         if queue.available_at + queue.start_delay >= req.start_deadline:
             raise NotServedError(
                 "every runner wants nothing for a while",
@@ -422,12 +476,17 @@
 
     def _refuse_unservable(self, service: str, queue: _Queue) -> None:
         now = self._monotonic()
-        start = self._refresh(service, queue, now).start_delay
-        for req, fut in list(queue.waiting.items()):
+        start = self._refresh(service, queue, now).start_bound
+        for req in list(queue.waiting):
             is_unservable = not self._has_eligible_runner(req, queue, now)
             is_unservable |= queue.available_at + start >= req.start_deadline
             if is_unservable or not self._admission.can_start_in_time(req, start, now):
-                del queue.waiting[req]
-                if not fut.done():
-                    reason = "no runner became free in time"
-                    fut.set_exception(self._make_refusal(queue, now, reason))
+                self._refuse(queue, req, now, "no runner became free in time")
+
+    def _refuse(
+        self, queue: _Queue, req: PlacementRequest, now: float, reason: str
+    ) -> None:
+        """Refuse a waiting request."""
+        fut = queue.waiting.pop(req)
+        if not fut.done():
+            fut.set_exception(self._make_refusal(queue, now, reason))
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -29,6 +29,7 @@
 )
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.start_delays import PathDelays
 from marigold.entry.suspicion.admission import SuspectAdmission, Trial
 
 log = get_logger(__name__)
@@ -69,6 +70,7 @@
         self._deadline = math.inf
         self._timers: set[asyncio.Timeout] = set()
         self._investigations: set[asyncio.Task[None]] = set()
+        self.path_delays = PathDelays()
         self.crashes = crashes
         self.suspects = suspects
         self.may_use_keys = may_use_keys
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -13,6 +13,7 @@
 from marigold.core.schema.generated.messages import RunnerLoad
 from marigold.entry.relay.health import RunnerHealth
 from marigold.entry.relay.requests import PlacementRequest
+from marigold.entry.relay.start_delays import StartDelays
 
 # Seconds for which a load report counts in full, and after which it is ignored. A
 # request takes about a second.
@@ -53,6 +54,7 @@
         "reported_at",
         "runner",
         "slowdown",
+        "start_delays",
         "version_seen",
     )
 
@@ -60,6 +62,7 @@
         self.runner = runner
         self.region = region
         self.health = RunnerHealth()
+        self.start_delays = StartDelays()
         self.in_flight: dict[PlacementRequest, float] = {}
         self.last_byte_at = 0.0
         self._abandoned_at: float | None = None
@@ -119,12 +122,28 @@
         if self._abandoned_at is None and now - sent_at >= GIVEN_BACK_S:
             self._abandoned_at = sent_at
 
+    def record_start(self, req: PlacementRequest, now: float) -> None:
+        """Record that the answer to a request that is in flight has begun."""
+        self.record_progress(now)
+        sent_at = self.in_flight.get(req)
+        if sent_at is not None:
+            self.start_delays.record(now - sent_at, now)
+
+    def record_missing_start(self, req: PlacementRequest, now: float) -> None:
+        """Record that a request in flight ends before its answer has begun."""
+        sent_at = self.in_flight.get(req)
+        if sent_at is not None and not req.is_started:
+            self.start_delays.record_minimum(now - sent_at, now)
+
     def get_last_used_at(self, entry: str) -> float:
         """Return when an entry last used the runner, and so had a connection."""
         return self._last_used_at.get(entry, 0.0)
 
     def record_progress(self, now: float) -> None:
         """Record that the runner sent data."""
+        if self.is_unresponsive(now):
+            # The starts that were missed say nothing about the runner from now on.
+            self.start_delays.clear()
         self.last_byte_at = now
         self._abandoned_at = None
 
--- a/packages/entry/tests/abandoned_requests_tests.py
+++ b/packages/entry/tests/abandoned_requests_tests.py
@@ -134,13 +134,15 @@
         self.assertLessEqual(len(self.views[0].in_flight), 1)
 
     async def test_request_that_waits_gets_no_silent_runner_in_the_last_moment(self):
-        silent, other = self.views
-        self.report(FULL, other)
+        self.report(FULL)
         _, fut = await self.submit("late")
-        for ctx in [make_context("a", self.now)]:
-            silent.start(ctx, self.now)
-        await self.fall_silent(silent, other)
-        self.scheduler.start_waiting("model", silent)
+        abandoned = [make_context(f"a{view.id}", self.now) for view in self.views]
+        for ctx, view in zip(abandoned, self.views, strict=True):
+            view.start(ctx, self.now)
+        # Old load reports no longer say that the runners are full.
+        self.now += PATIENCE_S - 0.3
+        for ctx, view in zip(abandoned, self.views, strict=True):
+            self.scheduler.release(ctx, view)
         self.assertFalse(fut.done() and fut.exception() is None)
 
     async def test_few_requests_are_on_the_way_when_all_runners_are_silent(self):
--- a/packages/standins/src/marigold/standins/bench/load_run.py
+++ b/packages/standins/src/marigold/standins/bench/load_run.py
@@ -15,7 +15,12 @@
 from marigold.entry.relay.scheduler import Overflow, RequestScheduler
 from marigold.entry.relay.views import RunnerView
 from marigold.standins.bench.load_fleet import Policies, SimulatedFleet
-from marigold.standins.simulated_engine import EngineFullError, Job, SimulatedEngine
+from marigold.standins.simulated_engine import (
+    SHORTEST_WAIT_S,
+    EngineFullError,
+    Job,
+    SimulatedEngine,
+)
 from marigold.standins.virtual_time import get_time
 
 LENGTH_S = 20.0
@@ -92,6 +97,21 @@
             fut.set_result(view)
 
 
+class _Call:
+    """An attempt of a caller, and the jobs that were submitted to engines for it."""
+
+    __slots__ = ("answer", "ctx", "jobs", "prompt", "started_at")
+
+    def __init__(
+        self, ctx: RequestContext, started_at: float, prompt: int, answer: int
+    ) -> None:
+        self.ctx = ctx
+        self.started_at = started_at
+        self.prompt = prompt
+        self.answer = answer
+        self.jobs: list[Job] = []
+
+
 class LoadRun:
     """A replay; `worth` and the counts are available after `run`.
 
@@ -272,55 +292,86 @@
         )
         ctx.data_centre = ctx.region = str(centre)
         await asyncio.sleep(hop)
+        call = _Call(ctx, started_at, prompt, answer)
         try:
-            view = await scheduler.acquire(ctx)
-        except NotServedError as exc:
-            return exc.retry_after or 0.0
-        place = int(view.runner.data_centre)
-        if self._policies.is_by_cell:
-            scheduler = self.schedulers[place]
-        delay = self._get_link_delay(centre, place)
-        self.sent += 1
-        await asyncio.sleep(hop + delay)
-        try:
-            engine = self._engines[int(view.id[1:])]
-            job = engine.submit(prompt, answer, ctx.precedence)
-            await self._read(job, ctx, view, started_at, delay + hop)
+            for _ in range(route.maximum_attempts):
+                try:
+                    view = await scheduler.acquire(ctx)
+                except NotServedError as exc:
+                    if call.jobs:
+                        break
+                    return exc.retry_after or 0.0
+                place = int(view.runner.data_centre)
+                delay = hop + self._get_link_delay(centre, place)
+                if self._policies.is_by_cell:
+                    scheduler = self.schedulers[place]
+                if await self._send(call, scheduler, view, delay):
+                    return None
+            await asyncio.sleep(ctx.start_deadline - get_time())
+            self._leave(call)
         except EngineFullError:
             self.turned_away += 1
-            scheduler.block(view)
             return 0.3
         finally:
-            await asyncio.sleep(delay + hop)
-            scheduler.release(ctx, view)
+            for job in call.jobs:
+                job.is_cancelled = True
         return None
 
     def _get_link_delay(self, centre: int, other: int) -> float:
         return self.fleet.get_delay(centre, other)
 
-    async def _read(
-        self,
-        job: Job,
-        ctx: RequestContext,
-        view: RunnerView,
-        started_at: float,
-        delay: float,
-    ) -> None:
-        left_at = ctx.start_deadline
+    async def _send(
+        self, call: _Call, scheduler: RequestScheduler, view: RunnerView, delay: float
+    ) -> bool:
+        """Send a request to an engine; return False if the engine falls silent."""
+        ctx = call.ctx
+        self.sent += 1
+        await asyncio.sleep(delay)
+        try:
+            engine = self._engines[int(view.id[1:])]
+            job = engine.submit(call.prompt, call.answer, ctx.precedence)
+            call.jobs.append(job)
+            while not job.first_token.is_set():
+                left = ctx.start_deadline - delay - get_time()
+                if left < SHORTEST_WAIT_S:
+                    self._leave(call)
+                    return True
+                if view.is_silent(get_time()):
+                    ctx.tried.add(view.id)
+                    view.health.record_failure(get_time())
+                    return False
+                await self._wait(job.first_token, min(left, SILENCE_CHECK_S))
+            await asyncio.sleep(delay)
+            self._record_first_token(call, view)
+            await job.done.wait()
+            return True
+        except EngineFullError:
+            scheduler.block(view)
+            raise
+        finally:
+            await asyncio.sleep(delay)
+            scheduler.release(ctx, view)
+
+    async def _wait(self, event: asyncio.Event, seconds: float) -> None:
         try:
-            async with asyncio.timeout(left_at - delay - get_time()):
-                await job.first_token.wait()
+            async with asyncio.timeout(seconds):
+                await event.wait()
         except TimeoutError:
-            job.is_cancelled = True
-            self.left += 1
-            self.gone += job.arrived_at - left_at > GONE_S
-            return
-        await asyncio.sleep(delay)
+            pass
+
+    def _leave(self, call: _Call) -> None:
+        """Count a request whose caller leaves."""
+        left_at = call.ctx.start_deadline
+        self.left += 1
+        self.gone += sum(job.arrived_at - left_at > GONE_S for job in call.jobs)
+
+    def _record_first_token(self, call: _Call, view: RunnerView) -> None:
+        ctx = call.ctx
+        now = get_time()
         ctx.is_started = True
-        view.record_progress(get_time())
-        self.waits.append(get_time() - started_at)
-        is_in_time = get_time() - started_at <= ctx.route.target_latency
-        await job.done.wait()
+        view.record_start(ctx, now)
+        self.waits.append(now - call.started_at)
+        is_in_time = now - call.started_at <= ctx.route.target_latency
         self.in_time += is_in_time
         self.late += not is_in_time
 
--- a/packages/standins/src/marigold/standins/simulated_engine.py
+++ b/packages/standins/src/marigold/standins/simulated_engine.py
@@ -18,6 +18,10 @@
 QUEUE_LENGTH = 32
 
 
+# The virtual clock may not advance by less, in seconds.
+SHORTEST_WAIT_S = 1e-6
+
+
 class EngineFullError(Exception):
     """The queue is full; the request was not executed."""
 
@@ -109,7 +113,8 @@
 
     async def _wait_resumed(self) -> None:
         while self.is_suspended:
-            await asyncio.sleep(self._suspended_until - get_time())
+            left = self._suspended_until - get_time()
+            await asyncio.sleep(max(left, SHORTEST_WAIT_S))
 
     def _admit(self) -> None:
         self._waiting = [job for job in self._waiting if not job.is_cancelled]
