Count a request's time from its arrival, not from its reading

What callers saw: runners worked on after their callers had left, up to 1.12 s past the end that the caller had named, where an entry read requests 1.1 s late.

Cause: an entry took the moment at which its handler began as the arrival. What lay unread while the process did not run was older, and each end that the entry reckoned with, the one that the runner is told included, was later than the caller's by as much.

The monitor of stalls knows the earliest time at which input that is read now can have arrived; this counts as the arrival. It is limited to 1 s, as callers leave when nothing was read for that long, so that a request that is still there cannot be older; without the limit an entry that wakes after seconds would refuse what has just come.

--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -44,6 +44,11 @@
 FIRST_CONFIGURATION_WAIT_S = 0.35
 
 
+# Seconds for which a request that was not read can have waited: callers leave after
+# that, so one that is still there came later.
+READ_DELAY_MAXIMUM_S = 1.0
+
+
 class CallerFrontend:
     """Answers callers' requests.
 
@@ -88,7 +93,7 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        arrived_at = time.monotonic()
+        arrived_at = self._estimate_arrival()
         head = self._header_codec.parse_request_head(http.headers)
         self.running += 1
         try:
@@ -105,6 +110,13 @@
         finally:
             self.running -= 1
 
+    def _estimate_arrival(self) -> float:
+        """Return the earliest time at which a request that is read now arrived.
+
+        Its caller counts from then on, also while this process did not run.
+        """
+        return time.monotonic() - min(self._get_read_delay(), READ_DELAY_MAXIMUM_S)
+
     async def _serve(
         self, http: web.BaseRequest, head: RequestHead, arrived_at: float
     ) -> web.StreamResponse:
