Let a request that lost its runner go before those that wait

What callers saw: GONE, and streams without an end. Each had been given up after 0.9 s of silence, with more than a second left.

Cause: such a request was queued or refused as if it had just come. 85 of the 89 that had to go on with their silent runners were refused as `more waits than can be served in time`, the others waited behind 80 until their callers left.

It now goes before the others of its precedence, and only those that also lost their runners count as ahead of it.

Ruled out: sends in the last moment.

Both tests failed before: the fresh request was picked, and the one that lost its runner refused.

--- a/packages/entry/src/marigold/entry/relay/queueing.py
+++ b/packages/entry/src/marigold/entry/relay/queueing.py
@@ -2,10 +2,11 @@
 
 Under overload, requests that can still meet their latency target run before those
 that cannot, and a less urgent request never runs before a more urgent one. A request
-that cannot be served before its caller leaves is refused at once; late requests still
-run when there is capacity. Among the requests that can be in time, the newest runs
-first: in order of arrival, each would wait until just past its target, and so all
-would be late.
+that was sent to a runner which then failed or fell silent goes before all others of its
+precedence: it has little time left. A request that cannot be served before its caller
+leaves is refused at once; late requests still run when there is capacity. Among the
+requests that can be in time, the newest runs first: in order of arrival, each would
+wait until just past its target, and so all would be late.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import random
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Iterable
 
 from marigold.entry.relay.requests import PlacementRequest
 
@@ -65,10 +67,23 @@
         return min(waiting, key=lambda item: _get_sort_key(item, latest))
 
 
-def _get_sort_key(req: PlacementRequest, latest: float) -> tuple[int, bool, float]:
+def _get_sort_key(
+    req: PlacementRequest, latest: float
+) -> tuple[int, bool, bool, float]:
     is_late = latest > req.soft_deadline
     arrived_at = req.arrived_at if is_late else -req.arrived_at
-    return req.precedence, is_late, arrived_at
+    return *_get_rank(req), is_late, arrived_at
+
+
+def _get_rank(req: PlacementRequest) -> tuple[int, bool]:
+    """Return what orders requests before their times do."""
+    return req.precedence, not req.tried
+
+
+def count_ahead(waiting: Iterable[PlacementRequest], req: PlacementRequest) -> int:
+    """Return how many waiting requests may run before another one."""
+    rank = _get_rank(req)
+    return sum(_get_rank(item) <= rank for item in waiting)
 
 
 class StartRate:
--- a/packages/entry/src/marigold/entry/relay/scheduler.py
+++ b/packages/entry/src/marigold/entry/relay/scheduler.py
@@ -21,7 +21,12 @@
 from marigold.entry.relay.exceptions import NotServedError
 from marigold.entry.relay.minimum_versions import MinimumVersions
 from marigold.entry.relay.placement import Placement, estimate_start
-from marigold.entry.relay.queueing import DeadlineAdmission, QueueOrder, StartRate
+from marigold.entry.relay.queueing import (
+    DeadlineAdmission,
+    QueueOrder,
+    StartRate,
+    count_ahead,
+)
 from marigold.entry.relay.requests import PlacementRequest
 from marigold.entry.relay.views import RunnerView
 
@@ -456,7 +461,7 @@
                 "every runner wants nothing for a while",
                 self._admission.add_jitter(queue.available_at - now, self._rng),
             )
-        ahead = sum(item.precedence <= req.precedence for item in queue.waiting)
+        ahead = count_ahead(queue.waiting, req)
         rate = queue.rate.get(now)
         start = queue.start_delay
         if ahead == 0 or self._admission.is_admissible(req, ahead, rate, start, now):
--- a/packages/entry/tests/abandoned_requests_tests.py
+++ b/packages/entry/tests/abandoned_requests_tests.py
@@ -179,6 +179,22 @@
         self.assertEqual(view.get_silence(self.now), 0.0)
 
 
+class LostRunnerTests(PlacingTestCase):
+    """The runner of a request falls silent under load, and another one is asked for."""
+
+    async def test_request_is_not_refused_for_those_that_wait(self):
+        self.report(FULL)
+        for number in range(8):
+            await self.submit(f"w{number}")
+        _, new = await self.submit("new")
+        self.assertIsInstance(new.exception(), NotServedError)
+        ctx = make_context("lost", self.now - 1.2)
+        ctx.tried.add("i2")
+        lost = self.scheduler.submit(ctx)
+        self.report(FREE)
+        self.assertIn(lost.result(), self.views)
+
+
 class HubTests(PlacingTestCase):
     """The hub learns from its entries and companions which runners answer."""
 
--- a/packages/entry/tests/relay_queueing_tests.py
+++ b/packages/entry/tests/relay_queueing_tests.py
@@ -38,6 +38,15 @@
         picked = DeadlineAwareOrder().pick([newer, older], START_S, now=1.0)
         self.assertIs(picked, older)
 
+    def test_request_that_lost_its_runner_runs_first(self):
+        lost = make_context("lost", arrived_at=0.0)
+        lost.tried.add("i1")
+        fresh = make_context("fresh", arrived_at=0.9)
+        urgent = make_context("urgent", arrived_at=0.9, precedence=0)
+        order = DeadlineAwareOrder()
+        self.assertIs(order.pick([fresh, lost], START_S, now=1.0), lost)
+        self.assertIs(order.pick([lost, urgent], START_S, now=1.0), urgent)
+
     def test_less_urgent_request_never_runs_before_a_more_urgent_one(self):
         urgent = make_context("urgent", arrived_at=0.0, precedence=0)
         other = make_context("other", arrived_at=0.9, precedence=1)
