Count the silence of a runner's streams that had begun

Cause: the silence in which a request ends was kept only if the runner had sent nothing for it at all. As the streams there were given up, each of which had begun, the runner was no longer silent.

It now counts from the last sign of the runner. The end of a stream is a sign as well.

The test failed before: three grants at a host that has been silent for 1.2 s.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -246,7 +246,9 @@
             # A resumed stream may be empty, but then it has to state that it is whole.
             raise error(f"{view.id}: no event on resuming")
         answer.finish()
-        view.health.record_success(self._monotonic())
+        now = self._monotonic()
+        view.record_progress(now)
+        view.health.record_success(now)
         await self.response.write_eof()
         return self.response
 
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -33,8 +33,8 @@
     `region` is the region of its data centre. `slowdown` is the factor by which the
     engine reports to be slower than its cost model. `_other_load` is the number of
     requests of other processes in the last load report, `_other_waiting` how many of
-    them had not started. `_abandoned_at` is when the first request was sent that ended
-    without a sign of the runner, None if it has sent something since.
+    them had not started. `_abandoned_at` is since when the runner had been silent as a
+    request there ended, None if it has sent something after that.
     """
 
     __slots__ = (
@@ -111,16 +111,17 @@
         self.in_flight.pop(req, None)
 
     def record_unanswered(self, req: PlacementRequest, now: float) -> None:
-        """Remember a request that ends before the runner has sent anything.
+        """Remember since when the runner has been silent, as a request ends.
 
         Otherwise a runner that is silent would get the next request as soon as the
         caller of the last one has left.
         """
         sent_at = self.in_flight.get(req)
-        if sent_at is None or self.last_byte_at > sent_at:
+        if sent_at is None or self._abandoned_at is not None:
             return
-        if self._abandoned_at is None and now - sent_at >= GIVEN_BACK_S:
-            self._abandoned_at = sent_at
+        silent_since = max(sent_at, self.last_byte_at)
+        if now - silent_since >= GIVEN_BACK_S:
+            self._abandoned_at = silent_since
 
     def record_start(self, req: PlacementRequest, now: float) -> None:
         """Record that the answer to a request that is in flight has begun."""
--- a/packages/entry/tests/abandoned_requests_tests.py
+++ b/packages/entry/tests/abandoned_requests_tests.py
@@ -245,6 +245,18 @@
         grants = [item for item in granted if isinstance(item, PlaceGrant)]
         self.assertLessEqual(len(grants), 1)
 
+    async def test_places_of_streams_that_stopped_are_not_granted_again(self):
+        await self.send(*(self.make_ask(number) for number in range(3)))
+        self.now += 0.2
+        await self.send(*(PlaceBegun(ask=number) for number in range(3)))
+        self.now += SILENCE_S * 1.3
+        ends = [PlaceEnd(ask=number, outcome="failed") for number in range(3)]
+        answers = await self.send(*ends)
+        for number in range(3):
+            answers += await self.send(self.make_ask(10 + number))
+        grants = [item for item in answers if isinstance(item, PlaceGrant)]
+        self.assertLessEqual(len(grants), 1)
+
     async def test_silent_host_is_not_probed_while_its_companion_may_report(self):
         load = RunnerLoad(running=0, waiting=0, paused=False, pace=1.0, started_ms=1)
         self.view.apply_report(load, self.now)
