Keep measured starts with the request server, and split the load replay

`RequestServer` records when streams begin and are missed, so that `RequestExecution` only asks how long a start takes. Replays of suspended engines and of switches have a module of their own; the replay with slow links, which nothing used, is gone.

--- a/packages/core/src/marigold/core/stalls.py
+++ b/packages/core/src/marigold/core/stalls.py
@@ -75,4 +75,5 @@
 
     def get_read_delay(self) -> float:
         """Return the seconds for which input handled now may have waited."""
-        return self._clock() - self.get_earliest_arrival()
+        earliest = self.get_earliest_arrival()
+        return self._clock() - earliest
--- a/packages/entry/src/marigold/entry/relay/execution.py
+++ b/packages/entry/src/marigold/entry/relay/execution.py
@@ -175,22 +175,8 @@
     def _record_start(self, view: RunnerView) -> None:
         """Record that a runner began to answer; a stalled attempt is not needed now."""
         self._stalled.close()
-        server, ctx = self._server, self._ctx
-        now = server.monotonic()
-        view.record_start(ctx, now)
-        server.path_delays.record(view.runner.data_centre, now - ctx.sent_at, now)
-        server.suspects.record_start(ctx.id, self._req)
-
-    def _record_missing_start(self, view: RunnerView) -> None:
-        """Record that a stream ends before its runner has begun to answer."""
-        server, ctx = self._server, self._ctx
-        if ctx.is_started or not ctx.route.is_stream:
-            return
-        now = server.monotonic()
-        view.record_missing_start(ctx, now)
-        server.path_delays.record_minimum(
-            view.runner.data_centre, now - ctx.sent_at, now
-        )
+        self._server.record_start(self._ctx, view)
+        self._server.suspects.record_start(self._ctx.id, self._req)
 
     async def _admit(self) -> Trial:
         """Admit the request unless similar requests have crashed runners."""
@@ -217,7 +203,7 @@
         except BaseException:
             # The caller left, time ran out, or nothing handles the exception.
             if trial.is_inconclusive:
-                self._record_missing_start(view)
+                server.record_missing_start(self._ctx, view)
                 server.record_abandoned(trial, self._make_crash(view, trial))
             raise
         finally:
@@ -263,10 +249,8 @@
         slower than from others.
         """
         ctx = self._ctx
-        expected = MINIMUM_REMAINING_S
-        if ctx.route.is_stream:
-            path_delay = self._server.path_delays.get(view.runner.data_centre, now)
-            expected = max(expected, view.start_delays.get(now), path_delay)
+        expected = self._server.get_expected_start(ctx, view)
+        expected = max(expected, MINIMUM_REMAINING_S)
         if now + expected >= ctx.start_deadline:
             log.event(
                 "send_avoided",
@@ -299,7 +283,7 @@
         )
         record_failed_attempt(view, exc, outcome, now)
         if isinstance(exc, SilentRunnerError):
-            self._record_missing_start(view)
+            self._server.record_missing_start(self._ctx, view)
         if outcome.backoff:
             self._server.scheduler.block(view, outcome.backoff)
         if view.is_leaving:
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -42,8 +42,6 @@
 # nothing is read for a third of their time, which is at least 0.5 s.
 FIRST_CONFIGURATION_S = 1.5
 FIRST_CONFIGURATION_WAIT_S = 0.35
-
-
 # Seconds for which a request that was not read can have waited: callers leave after
 # that, so one that is still there came later.
 READ_DELAY_MAXIMUM_S = 1.0
@@ -308,15 +306,14 @@
             cause = "its caller left"
         write = log.routine if is_abandoned else log.event
         now = time.monotonic()
-        is_sent = ctx is not None and bool(ctx.sends)
         write(
             "request_cancelled",
             request=head.attempt,
             cause=cause,
             seconds=now - arrived_at,
-            sends=ctx.sends if ctx is not None else 0,
-            runner=ctx.sent_to if ctx is not None else "",
-            since_sent=now - ctx.sent_at if ctx is not None and is_sent else None,
+            sends=0 if ctx is None else ctx.sends,
+            runner="" if ctx is None else ctx.sent_to,
+            since_sent=now - ctx.sent_at if ctx is not None and ctx.sends else None,
             read_delay=self._get_read_delay(),
         )
 
--- a/packages/entry/src/marigold/entry/relay/serving.py
+++ b/packages/entry/src/marigold/entry/relay/serving.py
@@ -30,6 +30,7 @@
 from marigold.entry.relay.metrics import RelayMetrics
 from marigold.entry.relay.requests import RequestContext
 from marigold.entry.relay.start_delays import PathDelays
+from marigold.entry.relay.views import RunnerView
 from marigold.entry.suspicion.admission import SuspectAdmission, Trial
 
 log = get_logger(__name__)
@@ -70,7 +71,7 @@
         self._deadline = math.inf
         self._timers: set[asyncio.Timeout] = set()
         self._investigations: set[asyncio.Task[None]] = set()
-        self.path_delays = PathDelays()
+        self._path_delays = PathDelays()
         self.crashes = crashes
         self.suspects = suspects
         self.may_use_keys = may_use_keys
@@ -81,6 +82,32 @@
         self.rng = rng
         self.monotonic = monotonic
 
+    def record_start(self, ctx: RequestContext, view: RunnerView) -> None:
+        """Record that a runner has sent the first event of a stream."""
+        now = self.monotonic()
+        view.record_start(ctx, now)
+        self._path_delays.record(view.runner.data_centre, now - ctx.sent_at, now)
+
+    def record_missing_start(self, ctx: RequestContext, view: RunnerView) -> None:
+        """Record that an attempt ends before the first event of its stream."""
+        if ctx.is_started or not ctx.route.is_stream:
+            return
+        now = self.monotonic()
+        view.record_missing_start(ctx, now)
+        path, seconds = view.runner.data_centre, now - ctx.sent_at
+        self._path_delays.record_minimum(path, seconds, now)
+
+    def get_expected_start(self, ctx: RequestContext, view: RunnerView) -> float:
+        """Return the measured seconds to the first event of a stream at a runner.
+
+        Zero if nothing is known, and for routes whose answers do not show a start.
+        """
+        if not ctx.route.is_stream:
+            return 0.0
+        now = self.monotonic()
+        path_delay = self._path_delays.get(view.runner.data_centre, now)
+        return max(view.start_delays.get(now), path_delay)
+
     def record_abandoned(self, trial: Trial, crash: RunnerCrash) -> None:
         """Record a request that was abandoned after it was sent.
 
--- a/packages/standins/src/marigold/standins/bench/load.py
+++ b/packages/standins/src/marigold/standins/bench/load.py
@@ -25,7 +25,8 @@
     SimulatedFleet,
     scale_fleet,
 )
-from marigold.standins.bench.load_run import LoadRun, SuspendedRun, SwitchingRun
+from marigold.standins.bench.load_run import LoadRun
+from marigold.standins.bench.load_troubles import SuspendedRun, SwitchingRun
 from marigold.standins.virtual_time import run_virtual
 
 # Peaks of the small fleet in requests a second: a standard day, a burst and more
--- a/packages/standins/src/marigold/standins/bench/load_run.py
+++ b/packages/standins/src/marigold/standins/bench/load_run.py
@@ -26,21 +26,11 @@
 LENGTH_S = 20.0
 STEPS = ((0.0, 0.55), (6.0, 0.7), (7.5, 0.85), (9.0, 1.0))
 REPORT_INTERVAL_S = 0.2
-# When engines start to switch to new weights, the time over which the switches are
-# spread, and the time that loading takes.
-SWITCH_AT_S = 8.0
-SWITCH_SPREAD_S = 1.68
-LOAD_S = 0.35
-POLL_S = 0.05
 # Seconds from a caller's departure until its request counts as sent in vain when it
 # reaches an engine, which the platform's rules allow.
 GONE_S = 0.5
 # Seconds between an entry's checks of a silent engine.
 SILENCE_CHECK_S = 0.3
-# When the hosts of engines are suspended, and when links are slow.
-SUSPEND_AT_S = 10.0
-SLOW_FROM_S = 8.0
-SLOW_UNTIL_S = 14.0
 # Worth of an answer within the target latency, and of a late one.
 IN_TIME = 1.0
 LATE = 0.25
@@ -302,7 +292,7 @@
                         break
                     return exc.retry_after or 0.0
                 place = int(view.runner.data_centre)
-                delay = hop + self._get_link_delay(centre, place)
+                delay = hop + fleet.get_delay(centre, place)
                 if self._policies.is_by_cell:
                     scheduler = self.schedulers[place]
                 if await self._send(call, scheduler, view, delay):
@@ -317,9 +307,6 @@
                 job.is_cancelled = True
         return None
 
-    def _get_link_delay(self, centre: int, other: int) -> float:
-        return self.fleet.get_delay(centre, other)
-
     async def _send(
         self, call: _Call, scheduler: RequestScheduler, view: RunnerView, delay: float
     ) -> bool:
@@ -374,95 +361,3 @@
         is_in_time = now - call.started_at <= ctx.route.target_latency
         self.in_time += is_in_time
         self.late += not is_in_time
-
-
-class SuspendedRun(LoadRun):
-    """A replay in which the hosts of some engines stand still for seconds.
-
-    What was sent to them meanwhile reaches them when they go on.
-    """
-
-    def __init__(
-        self,
-        fleet: SimulatedFleet,
-        policies: Policies,
-        seed: int,
-        peak: float,
-        suspended: int,
-        seconds: float,
-    ) -> None:
-        super().__init__(fleet, policies, seed, peak)
-        self._suspended = suspended
-        self._seconds = seconds
-
-    async def run(self) -> None:
-        """Replay the whole load."""
-        task = asyncio.create_task(self._suspend())
-        await super().run()
-        await task
-
-    async def _suspend(self) -> None:
-        await asyncio.sleep(SUSPEND_AT_S)
-        for engine in self._engines[: self._suspended]:
-            engine.suspend(self._seconds)
-
-
-class DelayedRun(LoadRun):
-    """A replay in which the links between data centres are slow for some seconds."""
-
-    def __init__(
-        self,
-        fleet: SimulatedFleet,
-        policies: Policies,
-        seed: int,
-        peak: float,
-        delay: float,
-    ) -> None:
-        super().__init__(fleet, policies, seed, peak)
-        self._delay = delay
-
-    def _get_link_delay(self, centre: int, other: int) -> float:
-        is_slow = centre != other and SLOW_FROM_S <= get_time() < SLOW_UNTIL_S
-        return self._delay if is_slow else super()._get_link_delay(centre, other)
-
-
-class SwitchingRun(LoadRun):
-    """A replay in which all engines load new weights, staggered in time.
-
-    Each engine pauses, completes its requests, loads the weights and resumes.
-    """
-
-    async def run(self) -> None:
-        """Replay the whole load."""
-        switching = asyncio.create_task(self._switch_all())
-        await super().run()
-        await switching
-
-    def _get_load_factor(self) -> float:
-        return 1.0
-
-    async def _add_late(self) -> None:
-        for number in range(self.fleet.engines, self.fleet.engines + self.fleet.added):
-            self._add_engine(number)
-
-    async def _switch_all(self) -> None:
-        await asyncio.sleep(SWITCH_AT_S)
-        count = self.fleet.engines + self.fleet.added
-        gap = SWITCH_SPREAD_S / count
-        switches = [self._switch(number, number * gap) for number in range(count)]
-        await asyncio.gather(*switches)
-
-    async def _switch(self, number: int, delay: float) -> None:
-        await asyncio.sleep(delay)
-        engine = self._engines[number]
-        self._pause(number, True)
-        while engine.running or engine.waiting:
-            await asyncio.sleep(POLL_S)
-        await asyncio.sleep(LOAD_S)
-        self._pause(number, False)
-
-    def _pause(self, number: int, is_paused: bool) -> None:
-        for directory in self._directories:
-            for view in directory.views:
-                if view.id == f"i{number}":
-                    view.is_paused = is_paused
