Bound the time that a request can have waited unread by a third of its own

With the event loop kept busy, all requests of 0.3 s were refused without a send, as each counted as read up to 1 s late.

Cause: the bound on the delay of reading was 1 s for each request. The callers leave after a third of their time when nothing was read, so that a request with little time that is still there has come later than that.

--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -28,7 +28,7 @@
 from marigold.entry.relay.forwarding import CallerRequest
 from marigold.entry.relay.freshness import KeyFreshness
 from marigold.entry.relay.metrics import RelayMetrics
-from marigold.entry.relay.requests import RequestContext
+from marigold.entry.relay.requests import RequestContext, get_time_limit
 from marigold.entry.relay.serving import RequestServer, log_unexpected
 from marigold.entry.relay.source import CatalogueSource
 
@@ -42,9 +42,10 @@
 # nothing is read for a third of their time, which is at least 0.5 s.
 FIRST_CONFIGURATION_S = 1.5
 FIRST_CONFIGURATION_WAIT_S = 0.35
-# Seconds for which a request that was not read can have waited: callers leave after
-# that, so one that is still there came later.
-READ_DELAY_MAXIMUM_S = 1.0
+# Seconds and fraction of a caller's time after which it leaves when nothing was read: a
+# request that is still there has waited for less than either.
+READ_TIMEOUT_S = 1.0
+READ_TIMEOUT_FRACTION = 1 / 3
 
 
 class CallerFrontend:
@@ -91,7 +92,7 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
-        arrived_at = self._estimate_arrival()
+        arrived_at = time.monotonic()
         head = self._header_codec.parse_request_head(http.headers)
         self.running += 1
         try:
@@ -108,13 +109,6 @@
         finally:
             self.running -= 1
 
-    def _estimate_arrival(self) -> float:
-        """Return the earliest time at which a request that is read now arrived.
-
-        Its caller counts from then on, also while this process did not run.
-        """
-        return time.monotonic() - min(self._get_read_delay(), READ_DELAY_MAXIMUM_S)
-
     async def _serve(
         self, http: web.BaseRequest, head: RequestHead, arrived_at: float
     ) -> web.StreamResponse:
@@ -227,11 +221,12 @@
             precedence = found.precedence
             organisation = found.name
         _check_head(http, catalogue)
+        limit = get_time_limit(route, head.deadline)
         return RequestContext(
             head.attempt,
             choose_service(route.services, self._rng),
             route,
-            arrived_at,
+            arrived_at - self._estimate_read_delay(limit),
             head.deadline,
             organisation,
             precedence,
@@ -241,6 +236,14 @@
             self._region,
         )
 
+    def _estimate_read_delay(self, limit: float) -> float:
+        """Return for how long a request that is read now may have waited.
+
+        Its caller allows `limit` seconds, also while this process did not run.
+        """
+        longest = min(READ_TIMEOUT_S, READ_TIMEOUT_FRACTION * limit)
+        return min(self._get_read_delay(), longest)
+
     def _require_fresh(self, age: float | None, reason: str) -> None:
         if not self._freshness.may_report_missing(age):
             raise NotServedError(
--- a/packages/entry/src/marigold/entry/relay/requests.py
+++ b/packages/entry/src/marigold/entry/relay/requests.py
@@ -27,6 +27,11 @@
     )
 
 
+def get_time_limit(route: Route, timeout: float | None) -> float:
+    """Return the seconds for a whole answer; `timeout` is what the caller allows."""
+    return route.timeout if timeout is None else min(route.timeout, timeout)
+
+
 class PlacementRequest:
     """A request to be placed, at its entry or at the hub of its cell.
 
@@ -121,7 +126,7 @@
         data_centre: str = "",
         region: str = "",
     ) -> None:
-        limit = route.timeout if timeout is None else min(route.timeout, timeout)
+        limit = get_time_limit(route, timeout)
         stream_timeout = get_stream_timeout(route) if route.is_stream else limit
         super().__init__(
             id,
