Count a caller's patience from its body, and any bytes as a sign of life

- platform_stop_tests.LateBodyTests: a stream whose body was whole after 2.6 s was refused, as its caller was taken to leave 2.4 s after the head.
Its patience now begins with the end of the body.
- platform_streams_tests.StreamTests .test_stream_moves_off_a_runner_that_stalls_only_it: a runner of which one stream stalled, with keep-alives, counted as a silent host, and no stream was moved to it.
Bytes that are no progress now count as a sign of the host; attempts are still given up for a stream without progress.

--- a/packages/entry/src/marigold/entry/relay/answers.py
+++ b/packages/entry/src/marigold/entry/relay/answers.py
@@ -79,6 +79,7 @@
         splitter = copy.copy(self.splitter)
         try:
             while data := await watchdog.guard_read(self.answer.read):
+                watchdog.record_bytes()
                 self._ahead += data
                 if any(event.id is not None for event in splitter.feed(data)):
                     return
@@ -286,7 +287,9 @@
             self._relayed_at = now = self._monotonic()
             view.record_progress(now)
             watchdog.record_event()
-        elif not self._ctx.is_started:
+        else:
+            view.record_sign(self._monotonic())
+        if not self._ctx.is_started and all(event.id is None for event in events):
             reader.preamble += data
             if len(reader.preamble) > MAXIMUM_PREAMBLE_BYTES:
                 raise BrokenAnswerError(f"{view.id}: no event, but bytes without end")
--- a/packages/entry/src/marigold/entry/relay/frontend.py
+++ b/packages/entry/src/marigold/entry/relay/frontend.py
@@ -158,11 +158,14 @@
         """Check a request and read all of it."""
         self._require_open()
         ctx = self._make_context(http, head, catalogue, arrived_at)
+        began_at = time.monotonic()
         try:
             async with self._server.limit_time():
                 body = await _read_body(http, catalogue)
         except TimeoutError as exc:
             raise NotServedError("this entry is stopping", STALE_RETRY_S) from exc
+        # Its caller waits for an answer from the end of the body on.
+        ctx.extend_patience(time.monotonic() - began_at)
         # A body that took its time may leave too little of it to a runner.
         self._require_open()
         req = CallerRequest(
--- a/packages/entry/src/marigold/entry/relay/requests.py
+++ b/packages/entry/src/marigold/entry/relay/requests.py
@@ -150,6 +150,10 @@
         self.sent_to = ""
         self.sent_version = 0
 
+    def extend_patience(self, seconds: float) -> None:
+        """Let the caller leave later by some seconds, but not after the deadline."""
+        self.start_deadline = min(self.start_deadline + seconds, self.deadline)
+
     def may_retry(self) -> bool:
         """Return whether the request may be retried after it may have run."""
         return self.route.is_idempotent and self.sends < self.route.maximum_attempts
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -43,6 +43,7 @@
         "_load_at",
         "_other_load",
         "_other_waiting",
+        "_sign_at",
         "blocked_until",
         "delisted_at",
         "health",
@@ -65,6 +66,7 @@
         self.start_delays = StartDelays()
         self.in_flight: dict[PlacementRequest, float] = {}
         self.last_byte_at = 0.0
+        self._sign_at = 0.0
         self._abandoned_at: float | None = None
         # When the companion of the runner last reported.
         self.reported_at = -math.inf
@@ -119,7 +121,7 @@
         sent_at = self.in_flight.get(req)
         if sent_at is None or self._abandoned_at is not None:
             return
-        silent_since = max(sent_at, self.last_byte_at)
+        silent_since = max(sent_at, self.last_byte_at, self._sign_at)
         if now - silent_since >= GIVEN_BACK_S:
             self._abandoned_at = silent_since
 
@@ -148,6 +150,11 @@
         self.last_byte_at = now
         self._abandoned_at = None
 
+    def record_sign(self, now: float) -> None:
+        """Record bytes that are no progress of an answer, but show a live host."""
+        self._sign_at = now
+        self._abandoned_at = None
+
     def update_load(self, report: LoadReport, now: float) -> None:
         """Update the load from a load report of the runner."""
         own = len(self.in_flight)
@@ -208,7 +215,7 @@
         oldest = next(iter(self.in_flight.values()), math.inf)
         if self._abandoned_at is not None:
             oldest = min(oldest, self._abandoned_at)
-        return max(now - max(oldest, self.last_byte_at), 0.0)
+        return max(now - max(oldest, self.last_byte_at, self._sign_at), 0.0)
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether the runner may only be probed, as it has long been silent."""
--- a/packages/entry/src/marigold/entry/relay/watchdog.py
+++ b/packages/entry/src/marigold/entry/relay/watchdog.py
@@ -93,6 +93,10 @@
         """Record an event of the stream."""
         self._event_at = self._monotonic()
 
+    def record_bytes(self) -> None:
+        """Record bytes of a suspended attempt, which show that the host is alive."""
+        self._view.record_sign(self._monotonic())
+
     async def guard(self, call: Callable[[], Awaitable[T]]) -> T:
         """Await a call; raise `SilentRunnerError` or `WithdrawnError` on a stall.
 
