--- a/packages/core/src/marigold/core/connections.py
+++ b/packages/core/src/marigold/core/connections.py
@@ -10,6 +10,7 @@
 import re
 import select
 import socket
+from collections.abc import Iterable
 from functools import partial
 from typing import Any
 
@@ -160,6 +161,25 @@
         super()._release(key, protocol, should_close=should_close)
         protocol.is_idle = True
 
+    def count_connections(self, address: str) -> tuple[int, int]:
+        """Return the connections to ``HOST:PORT`` that are in use, and idle ones."""
+        peer = split_address(address)
+        idle = [conn for conns in self._conns.values() for conn, _ in conns]
+        return _count_peer(self._acquired, peer), _count_peer(idle, peer)
+
+
+def _count_peer(connections: Iterable[Any], peer: tuple[str, int]) -> int:
+    """Return how many open connections lead to a peer.
+
+    The library also keeps placeholders of connections that are being opened.
+    """
+    transports = [
+        item.transport
+        for item in connections
+        if isinstance(item, ReusableProtocol) and item.transport is not None
+    ]
+    return sum(item.get_extra_info("peername") == peer for item in transports)
+
 
 def is_interim(status: int) -> bool:
     """Return whether an answer with a status precedes the answer to the request."""
