Close connections to the origin of weights that are not in use

Cause: hubs kept the connection on which they had got the manifest, and companions the one of their last chunk, for 30 s. The origin accepts 48 connections from all hosts together, fewer while requests wait for it.

Change: both processes use connections of their own to the origin. A hub closes each one at once, a companion half a second after the last chunk.

platform_origin_tests: three of four failed before, all hold.

--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -62,6 +62,10 @@
 # Seconds for which idle connections to runners are kept, less than runners keep them.
 RUNNER_KEEPALIVE_S = 4.0
 STORE_KEEPALIVE_S = 30.0
+# The same for the origin of weights, which is asked for a manifest now and then. It
+# accepts few connections from all hosts together, and keeps those of hosts that lost
+# their power.
+ORIGIN_KEEPALIVE_S = 0.0
 # Seconds for which callers' idle connections are kept: longer than the bounds of
 # configurations, as callers close idle connections themselves.
 CALLER_KEEPALIVE_S = 300.0
@@ -117,13 +121,20 @@
             runners = await stack.enter_async_context(
                 make_runner_session(RUNNER_KEEPALIVE_S)
             )
-            self._build(adapter, store, runners)
+            origin = await stack.enter_async_context(
+                ClientSession(connector=make_connector(ORIGIN_KEEPALIVE_S))
+            )
+            self._build(adapter, store, runners, origin)
             await self._serve(stack, adapter, stop)
         log.event("relay_stopped")
         output.close()
 
     def _build(
-        self, adapter: Adapter, store: ClientSession, runners: ClientSession
+        self,
+        adapter: Adapter,
+        store: ClientSession,
+        runners: ClientSession,
+        origin: ClientSession,
     ) -> None:
         cfg = self._cfg
         feeds = self._feeds = make_feeds(
@@ -131,7 +142,7 @@
         )
         self._registry = adapter.make_member_registry(store)
         self._quarantine = adapter.make_quarantine_registry(store)
-        self._make_origin = partial(adapter.make_weight_source, store)
+        self._make_origin = partial(adapter.make_weight_source, origin)
         self._source = CatalogueSource(feeds.configurations)
         feeds.versions.subscribe(self._record_versions)
         self._build_hub(feeds)
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -66,6 +66,10 @@
 log = get_logger(__name__)
 
 KEEPALIVE_S = 30.0
+# The same for the origin of weights: a connection serves chunk after chunk. The origin
+# accepts few connections from all hosts together, and keeps those of hosts that lost
+# their power.
+ORIGIN_KEEPALIVE_S = 0.5
 BYTES_PER_MEGABIT = 125_000
 # Fraction of the host's link used for uploads; the runner's answers need the rest.
 UPLOAD_FRACTION = 0.93
@@ -131,11 +135,16 @@
             session = await stack.enter_async_context(
                 ClientSession(connector=make_connector(KEEPALIVE_S))
             )
+            origin = await stack.enter_async_context(
+                ClientSession(connector=make_connector(ORIGIN_KEEPALIVE_S))
+            )
             updater = self._make_updater(adapter, session)
             following = asyncio.create_task(updater.run())
             metrics = {"/metrics": self._get_metrics}
             await stack.enter_async_context(serve_paths(cfg.metrics, metrics))
-            main = asyncio.create_task(self._run_updates(adapter, session, updater))
+            main = asyncio.create_task(
+                self._run_updates(adapter, session, origin, updater)
+            )
             stopping = asyncio.create_task(stop.wait())
             try:
                 await wait_for_stop(stopping, main, following)
@@ -179,7 +188,11 @@
         )
 
     async def _run_updates(
-        self, adapter: Adapter, session: ClientSession, updater: CacheUpdater
+        self,
+        adapter: Adapter,
+        session: ClientSession,
+        origin_session: ClientSession,
+        updater: CacheUpdater,
     ) -> None:
         """Serve links, then wait for the model and reconcile the runner.
 
@@ -208,7 +221,7 @@
         try:
             async with serve_links(Address(host=host, port=port), ctx, serve):
                 model, origin, size = await self._find_model()
-                weights = adapter.make_weight_source(session, origin.address)
+                weights = adapter.make_weight_source(origin_session, origin.address)
                 source = HubManifestSource(weights, updater)
                 driver = adapter.make_runner_driver(session, cfg.runner, CALL_TIMEOUT_S)
                 reconciler = self._build(
