--- a/review/model.py
+++ b/review/model.py
@@ -170,7 +170,8 @@
     """The origin of weights, one piece after another at the rate of its link.
 
     `newest` is the newest version that was named; a version two back is gone. While
-    `trickles` is set, bodies of pieces come a byte a second and have no end.
+    `trickles` is set, bodies of pieces come a byte a second and have no end. As many of
+    the next manifests as `spoilt_manifests` have a wrong digit in one digest.
     """
 
     def __init__(self, record):
@@ -180,6 +181,7 @@
         self._link = asyncio.Lock()
         self.newest = 1
         self.trickles = False
+        self.spoilt_manifests = 0
         self.address = ""
 
     async def start(self, host="127.0.0.1", port=0):
@@ -208,6 +210,7 @@
             self._record.write(f"origin: {req.path}: 410")
             await conn.answer(req, "410 Gone", b"{}")
         elif not url.path.startswith("/v1/piece/"):
+            self._record.write(f"origin: {req.path}: 200")
             await conn.answer(req, body=self._make_manifest(version))
         elif self.trickles:
             await self._trickle(conn, req.path)
@@ -218,12 +221,15 @@
             index = int(query["SampleCount"][0])
             await conn.answer(req, body=make_chunk(version, index))
 
-    @staticmethod
-    def _make_manifest(version):
+    def _make_manifest(self, version):
         digests = [
             hashlib.sha256(make_chunk(version, index)).hexdigest()
             for index in range(CHUNKS)
         ]
+        if self.spoilt_manifests > 0:
+            self.spoilt_manifests -= 1
+            self._record.write("origin: that manifest has a wrong digit")
+            digests[0] = ("1" if digests[0][0] == "0" else "0") + digests[0][1:]
         return json.dumps(
             {
                 "Model": MODEL,
