Log the digests of manifests and of rejected chunks

A version that never loads shows as `chunk_corrupt source=origin` without end. The line did not say whether the chunk or the manifest is wrong, nor which manifest a companion uses and when a hub got it, so these causes looked the same: a hub that passes on a corrupt manifest, an origin that sends corrupt chunks, and a companion that keeps an earlier manifest than its hub.

`chunk_corrupt` now has the digest found, the one expected and the manifest; `copy_started` the manifest; and a hub logs `manifest_fetched`.

--- a/packages/core/src/marigold/core/platform/weights.py
+++ b/packages/core/src/marigold/core/platform/weights.py
@@ -19,6 +19,8 @@
 
 _CONVERTER = make_converter()
 DIGEST_CHARACTERS = 64
+# Characters of a digest in log lines; enough to tell the digests of a deployment apart.
+LOGGED_CHARACTERS = 12
 
 
 def load_manifest(data: bytes) -> Manifest:
@@ -47,6 +49,11 @@
     return hashlib.sha256(data).hexdigest()
 
 
+def abbreviate_digest(digest: str) -> str:
+    """Return the start of a digest for log lines."""
+    return digest[:LOGGED_CHARACTERS]
+
+
 def get_chunk_bytes(manifest: Manifest, index: int) -> int:
     """Return the size of a chunk in bytes."""
     return min(manifest.chunk_size, manifest.size - index * manifest.chunk_size)
--- a/packages/entry/src/marigold/entry/hub/manifests.py
+++ b/packages/entry/src/marigold/entry/hub/manifests.py
@@ -19,7 +19,7 @@
 from marigold.core.links.channels import Channel
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import WeightSource
-from marigold.core.platform.weights import dump_manifest
+from marigold.core.platform.weights import abbreviate_digest, dump_manifest
 from marigold.core.schema.generated.messages import ManifestAnswer, ManifestAsk
 
 log = get_logger(__name__)
@@ -66,6 +66,13 @@
             if source is not None:
                 manifest = await source.get_manifest(model, version or None)
                 answer.manifest = dump_manifest(manifest)
+                log.event(
+                    "manifest_fetched",
+                    model=model,
+                    version=manifest.version,
+                    manifest=abbreviate_digest(manifest.digest),
+                    waiting=len(self._waiting[key]),
+                )
         except WeightsNotFoundError as exc:
             answer.gone = True
             log.event("manifest_gone", model=model, version=version, reason=exc)
--- a/packages/target/src/marigold/target/companion/copies.py
+++ b/packages/target/src/marigold/target/companion/copies.py
@@ -8,6 +8,7 @@
 
 from marigold.core.logging import get_logger
 from marigold.core.platform.adapter import WeightSource
+from marigold.core.platform.weights import abbreviate_digest
 from marigold.core.rollout.planner import PlanHost
 from marigold.core.schema.generated.messages import LoadOrder
 from marigold.core.schema.generated.records import Manifest
@@ -154,6 +155,7 @@
         log.event(
             "copy_started",
             version=version,
+            manifest=abbreviate_digest(download.digest),
             held=len(download.held),
             sources=len(download.order.sources),
             remote=len(download.order.remote),
--- a/packages/target/src/marigold/target/weights/fetching.py
+++ b/packages/target/src/marigold/target/weights/fetching.py
@@ -11,7 +11,11 @@
 from collections.abc import Callable
 
 from marigold.core.logging import get_logger
-from marigold.core.platform.weights import compute_digest, get_chunk_bytes
+from marigold.core.platform.weights import (
+    abbreviate_digest,
+    compute_digest,
+    get_chunk_bytes,
+)
 from marigold.target.weights.backoff import Backoff
 from marigold.target.weights.download import OVERDUE_S, Download, SourceOffer
 from marigold.target.weights.engine import WeightEngine
@@ -146,9 +150,18 @@
     def _check(
         self, download: Download, index: int, data: bytes, source: ChunkSource
     ) -> None:
-        if compute_digest(data) == download.manifest.chunks[index]:
+        expected = download.manifest.chunks[index]
+        found = compute_digest(data)
+        if found == expected:
             return
-        log.event("chunk_corrupt", source=source.name, index=index)
+        log.event(
+            "chunk_corrupt",
+            source=source.name,
+            index=index,
+            expected=abbreviate_digest(expected),
+            found=abbreviate_digest(found),
+            manifest=abbreviate_digest(download.digest),
+        )
         raise ChunkCorruptError(
             f"chunk {index} from {source.name} does not match its digest"
         )
