Ask for a manifest again when chunks or peers contradict it

Cause: a well-formed manifest was believed for good. The hub sent the first one to all companions, and a companion kept it for its whole copy, while the chunk of the wrong digest was fetched and thrown away without end.

Ruled out: chunks that are corrupt (they would differ), a hub with another manifest than its companions (there is one digest), a source that is avoided (it is asked every 0.2 s).

`ManifestEvidence` collects what contradicts a manifest, a chunk that arrives twice with the same bytes or a peer with another manifest, and decides when to ask again and what the answer means. A held chunk proves its digest, so an answer that contradicts it is rejected unless the next one agrees. Companions name the manifests in doubt; the hub then asks the origin again, at most twice a second for a version. A companion keeps the chunks that match the new manifest. So a wrong answer stays for as long as nobody can tell, and goes with the first chunk that does. In calm the origin gets no further request.

--- a/packages/core/src/marigold/core/platform/adapter.py
+++ b/packages/core/src/marigold/core/platform/adapter.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from importlib import import_module
 from typing import Any, Generic, TypeVar
 
@@ -131,10 +131,14 @@
     """Client of the origin of new weights."""
 
     @abstractmethod
-    async def get_manifest(self, model: str, version: int | None) -> Manifest:
+    async def get_manifest(
+        self, model: str, version: int | None, doubted: Collection[str] = ()
+    ) -> Manifest:
         """Return the manifest of a version, or of the newest one for None.
 
-        Raise `WeightsNotFoundError` or `ManifestError`.
+        `doubted` are the digests of manifests that observations contradict; a source
+        that keeps answers asks again rather than repeat one of them. Raise
+        `WeightsNotFoundError` or `ManifestError`.
         """
 
     @abstractmethod
--- a/packages/entry/src/marigold/entry/hub/hub.py
+++ b/packages/entry/src/marigold/entry/hub/hub.py
@@ -145,6 +145,7 @@
         deferred: Counter,
         sized: Counter,
         preferred: Counter,
+        manifests_requested: Counter,
     ) -> None:
         self._identity = identity
         self._ctx = ctx
@@ -188,7 +189,7 @@
             preferred,
         )
         self._neighbours.scheduler = self._scheduler
-        self._manifests = ManifestProxy(get_origin)
+        self._manifests = ManifestProxy(get_origin, manifests_requested)
         # The hub does not share the table of its own entry, but receives the updates of
         # that entry in the same way as those of others.
         table = SuspectTable()
--- a/packages/entry/src/marigold/entry/hub/manifests.py
+++ b/packages/entry/src/marigold/entry/hub/manifests.py
@@ -2,7 +2,8 @@
 
 When a new version is announced, all companions of a deployment need its manifest at
 once, but the origin accepts only a few connections. The hub therefore fetches each
-manifest once for its cell.
+manifest once for its cell, and again when a companion doubts it: the origin's answer
+may have been corrupt.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 from collections.abc import Callable
 
+from marigold.core.boottime import get_boottime
 from marigold.core.exceptions import (
     ManifestError,
     PlatformError,
@@ -18,25 +20,51 @@
 from marigold.core.lifecycle import cancel_tasks
 from marigold.core.links.channels import Channel
 from marigold.core.logging import get_logger
+from marigold.core.metrics import Counter
 from marigold.core.platform.adapter import WeightSource
 from marigold.core.platform.weights import abbreviate_digest, dump_manifest
 from marigold.core.schema.generated.messages import ManifestAnswer, ManifestAsk
 
 log = get_logger(__name__)
 
+# Minimum seconds between two requests to the origin for a manifest in doubt, as all
+# companions of a cell may doubt it one after another.
+RECHECK_INTERVAL_S = 0.5
 # Enough for all versions that may be in distribution at once.
 CACHED_MANIFESTS_MAXIMUM = 4
 
 
+class _CachedAnswer:
+    """Answer of the origin; `digest` is that of its manifest, empty without one.
+
+    `asked_at` is the boot time in seconds of the last request.
+    """
+
+    __slots__ = ("answer", "asked_at", "digest")
+
+    def __init__(self, answer: ManifestAnswer, digest: str, asked_at: float) -> None:
+        self.answer = answer
+        self.digest = digest
+        self.asked_at = asked_at
+
+
 class ManifestProxy:
-    """Fetches each manifest from the origin once and sends it to companions.
+    """Fetches manifests from the origin and sends each one to many companions.
 
-    `get_source` returns None if there is no origin.
+    `get_source` returns None if there is no origin. `outcomes` counts the requests to
+    the origin. `clock` reads boot time in seconds.
     """
 
-    def __init__(self, get_source: Callable[[], WeightSource | None]) -> None:
+    def __init__(
+        self,
+        get_source: Callable[[], WeightSource | None],
+        outcomes: Counter,
+        clock: Callable[[], float] = get_boottime,
+    ) -> None:
         self._get_source = get_source
-        self._cached: dict[tuple[str, int], ManifestAnswer] = {}
+        self._outcomes = outcomes
+        self._clock = clock
+        self._cached: dict[tuple[str, int], _CachedAnswer] = {}
         self._waiting: dict[tuple[str, int], list[Channel]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -47,8 +75,9 @@
     def handle_request(self, channel: Channel, message: ManifestAsk) -> None:
         """Answer a companion, now or when the origin has answered."""
         key = (message.model, message.version)
-        if key in self._cached:
-            channel.put(self._cached[key])
+        cached = self._cached.get(key)
+        if cached is not None and self._is_sufficient(cached, message.doubted):
+            channel.put(cached.answer)
             return
         if key in self._waiting:
             self._waiting[key].append(channel)
@@ -58,31 +87,54 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _is_sufficient(self, cached: _CachedAnswer, doubted: list[str]) -> bool:
+        """Return whether a cached answer is sent rather than requested again."""
+        if cached.digest not in doubted:
+            return True
+        return self._clock() < cached.asked_at + RECHECK_INTERVAL_S
+
     async def _fetch(self, key: tuple[str, int]) -> None:
         model, version = key
         answer = ManifestAnswer(model=model, version=version)
+        cached = self._cached.get(key)
+        if cached is not None:
+            cached.asked_at = self._clock()
+        digest = ""
+        outcome = "failed"
         try:
             source = self._get_source()
             if source is not None:
                 manifest = await source.get_manifest(model, version or None)
                 answer.manifest = dump_manifest(manifest)
+                digest = manifest.digest
+                outcome = _compare(cached, digest)
                 log.event(
                     "manifest_fetched",
                     model=model,
                     version=manifest.version,
-                    manifest=abbreviate_digest(manifest.digest),
+                    manifest=abbreviate_digest(digest),
+                    outcome=outcome,
                     waiting=len(self._waiting[key]),
                 )
         except WeightsNotFoundError as exc:
             answer.gone = True
+            outcome = "gone"
             log.event("manifest_gone", model=model, version=version, reason=exc)
         except (PlatformError, ManifestError) as exc:
             log.event("manifest_failed", model=model, version=version, reason=exc)
         finally:
             channels = self._waiting.pop(key, [])
-        if version and (answer.manifest or answer.gone):
-            self._cached[key] = answer
+        self._outcomes.add(outcome)
+        if version and (answer.manifest or (answer.gone and cached is None)):
+            self._cached[key] = _CachedAnswer(answer, digest, self._clock())
             for old in list(self._cached)[:-CACHED_MANIFESTS_MAXIMUM]:
                 del self._cached[old]
         for channel in channels:
             channel.put(answer)
+
+
+def _compare(cached: _CachedAnswer | None, digest: str) -> str:
+    """Return the outcome of a request by the manifest that was cached before it."""
+    if cached is None or not cached.digest:
+        return "fetched"
+    return "confirmed" if cached.digest == digest else "changed"
--- a/packages/entry/src/marigold/entry/relay/metrics.py
+++ b/packages/entry/src/marigold/entry/relay/metrics.py
@@ -52,6 +52,11 @@
             "Requests of underserved organisations that were given a runner.",
             ("precedence",),
         )
+        self.manifests_requested = Counter(
+            "marigold_relay_manifests_requested",
+            "Requests of this hub to the origin of weights, by outcome.",
+            ("outcome",),
+        )
         self.runners_ended = Counter(
             "marigold_relay_runners_ended",
             "Requests under which a runner ended, by evidence.",
@@ -79,6 +84,7 @@
             self.placements,
             self.sized,
             self.preferred,
+            self.manifests_requested,
             self.runners_ended,
             self.total_time,
             self.head_time,
--- a/packages/entry/src/marigold/entry/relay/process.py
+++ b/packages/entry/src/marigold/entry/relay/process.py
@@ -277,6 +277,7 @@
             deferred=self._metrics.rate_deferred,
             sized=self._metrics.sized,
             preferred=self._metrics.preferred,
+            manifests_requested=self._metrics.manifests_requested,
         )
         self._apply_bounds(cfg.bounds)
 
--- a/packages/target/src/marigold/target/companion/copies.py
+++ b/packages/target/src/marigold/target/companion/copies.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from functools import partial
 
+from marigold.core.exceptions import ManifestError, PlatformError
 from marigold.core.logging import get_logger
+from marigold.core.metrics import Counter
 from marigold.core.platform.adapter import WeightSource
 from marigold.core.platform.weights import abbreviate_digest
 from marigold.core.rollout.planner import PlanHost
@@ -19,6 +21,7 @@
 from marigold.target.companion.version_schedule import VersionSchedule
 from marigold.target.weights.download import Download
 from marigold.target.weights.exchange import WeightExchange
+from marigold.target.weights.manifest_evidence import Verdict
 
 log = get_logger(__name__)
 
@@ -45,6 +48,7 @@
     """Copies of the versions of one model.
 
     `clock` reads boot time in seconds, like the times in the schedule.
+    `manifests_checked` counts later answers on manifests in doubt, by verdict.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         peers: PeerDirectory,
         planner: FetchPlanner,
         clock: Callable[[], float],
+        manifests_checked: Counter,
     ) -> None:
         self._model = model
         self._source = source
@@ -68,6 +73,7 @@
         self._peers = peers
         self._planner = planner
         self._clock = clock
+        self._manifests_checked = manifests_checked
         self._downloads: dict[int, Download] = {}
         self._recovered: set[int] = set()
         self._started_at: dict[int, float] = {}
@@ -142,14 +148,61 @@
         if download is None:
             download = await self._start(version)
         elif not download.is_complete():
+            download = await self._check_manifest(download)
             await self._recover(download)
             self._update_plan(download)
         return download
 
+    async def _check_manifest(self, download: Download) -> Download:
+        """Ask for a manifest again if evidence contradicts it.
+
+        Return the download, or the one that takes its place with another manifest.
+        """
+        manifest, evidence = download.manifest, download.evidence
+        now = self._clock()
+        if not evidence.should_ask(now):
+            return download
+        evidence.record_ask(now)
+        try:
+            answer = await self._source.get_manifest(
+                self._model, int(manifest.version), evidence.get_doubted()
+            )
+        except (PlatformError, ManifestError) as exc:
+            log.event("manifest_unchecked", version=manifest.version, reason=exc)
+            return download
+        reasons = ",".join(evidence.reasons)
+        verdict = evidence.judge(answer, download.held)
+        self._manifests_checked.add(verdict.value)
+        log.event(
+            "manifest_checked",
+            version=manifest.version,
+            manifest=abbreviate_digest(manifest.digest),
+            answer=abbreviate_digest(answer.digest),
+            verdict=verdict.value,
+            reasons=reasons,
+        )
+        if verdict is Verdict.REPLACED:
+            return await self._replace(download, answer)
+        return download
+
+    async def _replace(self, old: Download, manifest: Manifest) -> Download:
+        """Go on with another manifest of a version and the chunks that match it."""
+        pairs = zip(old.manifest.chunks, manifest.chunks, strict=False)
+        changed = [index for index, (a, b) in enumerate(pairs) if a != b]
+        self._engine.discard(manifest.version, changed)
+        await self._exchange.drop(old.digest)
+        download = self._begin(manifest)
+        self._mark_held(download)
+        return download
+
+    def _begin(self, manifest: Manifest) -> Download:
+        download = self._exchange.start(manifest, self._make_order(manifest))
+        self._downloads[int(manifest.version)] = download
+        return download
+
     async def _start(self, version: int) -> Download:
         manifest = await self._source.get_manifest(self._model, version)
-        download = self._exchange.start(manifest, self._make_order(manifest))
-        self._downloads[version] = download
+        download = self._begin(manifest)
         self._started_at[version] = self._clock()
         await self._recover(download)
         log.event(
@@ -174,10 +227,15 @@
         if found is None:
             return
         self._recovered.add(version)
-        for index in self._engine.get_held(manifest.version) & download.missing:
-            self._exchange.add_held(download, index)
+        self._mark_held(download)
         log.event("staged_recovered", version=version, chunks=found)
 
+    def _mark_held(self, download: Download) -> None:
+        """Mark the chunks in memory as held."""
+        held = self._engine.get_held(download.manifest.version)
+        for index in held & download.missing:
+            self._exchange.add_held(download, index)
+
     def _update_plan(self, download: Download) -> None:
         version = int(download.manifest.version)
         # Planning over all hosts takes milliseconds and is requested with every poll.
--- a/packages/target/src/marigold/target/companion/manifests.py
+++ b/packages/target/src/marigold/target/companion/manifests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 
 from marigold.core.exceptions import (
     ManifestError,
@@ -26,14 +27,17 @@
         self._origin = origin
         self._updater = updater
 
-    async def get_manifest(self, model: str, version: int | None) -> Manifest:
+    async def get_manifest(
+        self, model: str, version: int | None, doubted: Collection[str] = ()
+    ) -> Manifest:
         """Return the digests of a version, None for the newest.
 
-        Raise `WeightsNotFoundError`, `ManifestError` or `PlatformUnreachableError`.
+        The hub asks the origin again if it has one of the `doubted` manifests. Raise
+        `WeightsNotFoundError`, `ManifestError` or `PlatformUnreachableError`.
         """
         if not self._updater.has_hub:
-            return await self._origin.get_manifest(model, version)
-        req = ManifestAsk(model=model, version=version or 0)
+            return await self._origin.get_manifest(model, version, doubted)
+        req = ManifestAsk(model=model, version=version or 0, doubted=list(doubted))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 answer = await self._updater.request_manifest(req)
--- a/packages/target/src/marigold/target/companion/metrics.py
+++ b/packages/target/src/marigold/target/companion/metrics.py
@@ -22,6 +22,11 @@
             "Plans of the order in which runners switch, by kind.",
             ("kind",),
         )
+        self.manifests_checked = Counter(
+            "marigold_companion_manifests_checked",
+            "Answers on manifests in doubt, by verdict.",
+            ("verdict",),
+        )
         self.copy_time = Histogram(
             "marigold_companion_copy_seconds",
             "Time from the naming of a version to the order to load it.",
@@ -29,4 +34,10 @@
 
     def render(self) -> str:
         """Return the metrics in the text exposition format."""
-        return render_metrics(self.loads, self.skips, self.switch_plans, self.copy_time)
+        return render_metrics(
+            self.loads,
+            self.skips,
+            self.switch_plans,
+            self.manifests_checked,
+            self.copy_time,
+        )
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -315,6 +315,7 @@
             peers,
             FetchPlanner(region, first_copy_time),
             get_boottime,
+            self._metrics.manifests_checked,
         )
         return WeightReconciler(
             model,
--- a/packages/target/src/marigold/target/companion/staging.py
+++ b/packages/target/src/marigold/target/companion/staging.py
@@ -15,7 +15,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from marigold.core.boottime import get_boottime
 from marigold.core.exceptions import (
@@ -219,6 +219,11 @@
             raise EngineOrderError(f"the load order failed: {exc}") from exc
         return True
 
+    def discard(self, version: str, indexes: Iterable[int]) -> None:
+        """Drop chunks of a version from memory."""
+        for index in indexes:
+            self._chunks[version].pop(index, None)
+
     async def unload(self, version: str, fence: int) -> None:
         """Drop a version's chunks from memory."""
         self._chunks.pop(version, None)
--- a/packages/target/src/marigold/target/weights/download.py
+++ b/packages/target/src/marigold/target/weights/download.py
@@ -14,6 +14,7 @@
 
 from marigold.core.schema.generated.messages import LoadOrder
 from marigold.core.schema.generated.records import Manifest
+from marigold.target.weights.manifest_evidence import ManifestEvidence
 
 SAMPLE_CHUNKS = 64
 URGENT_REFUSALS = 6
@@ -66,6 +67,7 @@
         "_rng",
         "changed",
         "completed",
+        "evidence",
         "held",
         "in_flight",
         "is_halted",
@@ -91,6 +93,7 @@
         self._availability: Counter[int] = Counter()
         self._refusals: Counter[int] = Counter()
         self.manifest = manifest
+        self.evidence = ManifestEvidence(manifest)
         self.order = order
         self.held: set[int] = set()
         self.missing = set(range(len(manifest.chunks)))
@@ -229,6 +232,7 @@
         self.missing.discard(index)
         self._last_chunk_at = self._monotonic()
         self._refusals.pop(index, None)
+        self.evidence.record_match(index)
         for offer in self.offers:
             offer.wanted.discard(index)
         self.changed.set()
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -18,7 +18,7 @@
 from marigold.core.lifecycle import cancel_tasks
 from marigold.core.links.link import Link
 from marigold.core.logging import get_logger
-from marigold.core.platform.weights import WeightClient
+from marigold.core.platform.weights import WeightClient, abbreviate_digest
 from marigold.core.schema.generated.messages import (
     ChunkAnswer,
     ChunkRequest,
@@ -124,6 +124,8 @@
             _start_task(self._fetcher.fetch_from(download, offer, origin)),
             _start_task(self._run_fallback(download)),
         ]
+        for peer in self._peers:
+            self._compare_manifests(peer, download)
         self._connect()
         if self._idle_task is None:
             self._idle_task = _start_task(self._close_idle_links())
@@ -270,6 +272,8 @@
         peer.record_announcement(message)
         download = self._downloads.get(message.digest)
         if download is None:
+            for other in self._downloads.values():
+                self._compare_manifests(peer, other)
             return
         transfer = peer.transfers.get(message.digest)
         if transfer is None:
@@ -277,6 +281,20 @@
         else:
             download.add_available(transfer.offer, message.chunks)
 
+    def _compare_manifests(self, peer: Peer, download: Download) -> None:
+        """Record it if a peer uses another manifest for the version of a download."""
+        manifest = download.manifest
+        digest = peer.digests.get((manifest.model, manifest.version), download.digest)
+        if digest != download.digest:
+            download.evidence.record_other(digest)
+            log.event(
+                "manifests_differ",
+                peer=peer.name,
+                version=manifest.version,
+                manifest=abbreviate_digest(download.digest),
+                other=abbreviate_digest(digest),
+            )
+
     def _join_downloads(self, peer: Peer) -> None:
         for digest, download in self._downloads.items():
             if digest in peer.transfers:
--- a/packages/target/src/marigold/target/weights/fetching.py
+++ b/packages/target/src/marigold/target/weights/fetching.py
@@ -154,6 +154,7 @@
         found = compute_digest(data)
         if found == expected:
             return
+        download.evidence.record_mismatch(index, found)
         log.event(
             "chunk_corrupt",
             source=source.name,
--- a/packages/target/src/marigold/target/weights/peers.py
+++ b/packages/target/src/marigold/target/weights/peers.py
@@ -78,7 +78,8 @@
 
     `address` is the address that this process dialled, empty for an accepted link.
     `last_used_at` is the event loop's time of the last chunk message. `announced` and
-    `announce_only` are the peer's announcements and limits by whole digest.
+    `announce_only` are the peer's announcements and limits by whole digest, `digests`
+    the whole digest that it announced last for a model and version.
     """
 
     def __init__(self, link: Link, address: str, answer: Answerer) -> None:
@@ -93,6 +94,7 @@
         self.transfers: dict[str, PeerTransfer] = {}
         self.announced: dict[str, list[int]] = {}
         self.announce_only: dict[str, list[int]] = {}
+        self.digests: dict[tuple[str, str], str] = {}
         self.last_used_at = _get_loop_time()
 
     @property
@@ -125,6 +127,7 @@
     def record_announcement(self, message: ChunksHeld) -> None:
         """Record an announcement, also of a download that has not started yet."""
         self.last_used_at = _get_loop_time()
+        self._record_digest(message)
         if message.digest in self.transfers:
             return
         if (
@@ -134,6 +137,13 @@
             self.announced.setdefault(message.digest, []).extend(message.chunks)
             self.announce_only[message.digest] = message.only
 
+    def _record_digest(self, message: ChunksHeld) -> None:
+        key = (message.model, message.version)
+        self.digests.pop(key, None)
+        self.digests[key] = message.digest
+        for old in list(self.digests)[:-MAXIMUM_ANNOUNCED_VERSIONS]:
+            del self.digests[old]
+
     def add_transfer(
         self, download: Download, offer: SourceOffer, is_announced: bool
     ) -> PeerTransfer:
--- a/packages/target/tests/companion_fakes.py
+++ b/packages/target/tests/companion_fakes.py
@@ -15,6 +15,14 @@
 CHUNKS = 12
 
 
+def make_corrupt_manifest(version, index, digest="0" * 64):
+    """Return a manifest with another digest for one chunk."""
+    _, manifest = make_manifest(version)
+    manifest.chunks[index] = digest
+    manifest.digest = f"{manifest.digest}-{index}-{digest[:4]}"
+    return manifest
+
+
 def make_manifest(version):
     data = [b"%d-%d" % (version, index) for index in range(CHUNKS)]
     digests = [compute_digest(item) for item in data]
@@ -66,14 +74,19 @@
 
 
 class FakeSource:
+    """Source whose next answers on a version are taken from `corrupt`, if any."""
+
     def __init__(self, *versions):
         self.versions = set(versions)
+        self.corrupt = []
+        self.doubted = []
 
-    async def get_manifest(self, model, version):
+    async def get_manifest(self, model, version, doubted=()):
+        self.doubted.append(list(doubted))
         version = version or max(self.versions)
         if version not in self.versions:
             raise WeightsNotFoundError(f"{version} does not exist")
-        return make_manifest(version)[1]
+        return self.corrupt.pop(0) if self.corrupt else make_manifest(version)[1]
 
 
 class FakeExchange:
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -125,6 +125,7 @@
             peers,
             self.planner,
             lambda: self.now,
+            CompanionMetrics().manifests_checked,
         )
         self.reconciler = WeightReconciler(
             "m",
--- a/packages/target/tests/exchange_tests.py
+++ b/packages/target/tests/exchange_tests.py
@@ -4,8 +4,9 @@
 import math
 import random
 import unittest
+from dataclasses import replace
 
-from marigold.core.rollout.planner import SwarmPlanner
+from marigold.core.rollout.planner import HostPlan, SwarmPlanner
 from marigold.core.schema.generated.settings import Links, WeightSettings
 from marigold.standins.memory_weights import WeightStore
 from marigold.standins.segments import SegmentMap
@@ -137,6 +138,47 @@
         self.assertLess(self.segments.origin.bytes, 2 * SIZE_BYTES)
 
 
+class OtherManifestTests(ExchangeTestCase):
+    """Hosts of one version that have different manifests of it.
+
+    Guards against a host with a corrupt manifest that gets no chunks from its peers and
+    does not learn why.
+    """
+
+    async def start(self, corrupt_hosts):
+        """Start a copy whose manifest is corrupt at some of two hosts."""
+        hosts = await self.add_hosts("hu-west", "hu-west")
+        sound = self.store.manifest
+        for number, host in enumerate(hosts):
+            if number in corrupt_hosts:
+                chunks = ["0" * 64, *sound.chunks[1:]]
+                self.store.manifest = replace(sound, chunks=chunks, digest="1" * 64)
+            plan = HostPlan()
+            plan.sources = [item.address for item in hosts if item is not host]
+            host.apply_plan(plan)
+            self.store.manifest = sound
+        return [host.download.evidence for host in hosts]
+
+    async def wait_for_reasons(self, evidence):
+        async with asyncio.timeout(TIMEOUT_S):
+            while not evidence.reasons:
+                await asyncio.sleep(0.01)
+
+    async def test_host_that_starts_last(self):
+        for evidence in await self.start({1}):
+            await self.wait_for_reasons(evidence)
+            self.assertEqual(evidence.reasons, ["peers"])
+
+    async def test_host_that_starts_first(self):
+        for evidence in await self.start({0}):
+            await self.wait_for_reasons(evidence)
+
+    async def test_hosts_with_the_same_manifest(self):
+        found = await self.start(set())
+        await asyncio.sleep(0.5)
+        self.assertEqual([evidence.reasons for evidence in found], [[], []])
+
+
 class SlowLinkTests(ExchangeTestCase):
     host_rate = 800_000.0
     chunk_timeout = 0.2
