Read the manifest of a rollout again when a target doubts it

Operators of the product's own interface would see a rollout that stays `fetching` at every host for good: `ManifestCache` kept the first manifest that the store sent, and nothing ever called its `invalidate`.

A target now names the manifest that its chunks or peers contradict in `OrderProgress.doubted`, also where the verified chunks do not match its whole digest. The leader reads it again, at most once a second, and goes on with the old one meanwhile. `invalidate` is gone.

Tests: `rollout_tests.RolloutTests.test_manifest_with_a_wrong_digit_is_read_again` (real processes; the stand-in of the store spoils one manifest) failed before, after 60 s; `orders_tests` and `rollout_controller_tests.ManifestCacheTests` have the parts.

--- a/packages/entry/src/marigold/entry/rollout/controller.py
+++ b/packages/entry/src/marigold/entry/rollout/controller.py
@@ -79,6 +79,9 @@
 
     def _on_progress(self, host: str, progress: OrderProgress) -> None:
         record = self.orders.record_progress(host, progress, time.monotonic())
+        if progress.doubted:
+            log.routine("manifest_doubted", target=host, order=progress.order)
+            self._manifests.recheck(progress.doubted)
         if record is not None:
             self._count_state(progress.order, progress.state)
             log.event(
--- a/packages/entry/src/marigold/entry/rollout/manifests.py
+++ b/packages/entry/src/marigold/entry/rollout/manifests.py
@@ -1,9 +1,15 @@
-"""Cache of the manifests of wanted versions, read from the weight store."""
+"""Cache of the manifests of wanted versions, read from the weight store.
+
+A manifest that a target doubts is read again, as the store's answer may have been
+corrupt; meanwhile it stays in use.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import time
+from collections.abc import Callable
 
 from marigold.core.exceptions import ManifestError, PlatformError
 from marigold.core.lifecycle import cancel_tasks
@@ -15,14 +21,26 @@
 
 RETRY_S = 0.5
 RETRY_MAXIMUM_S = 10.0
+# Minimum seconds between two reads of a manifest in doubt; many hosts may doubt it.
+RECHECK_INTERVAL_S = 1.0
 
 
 class ManifestCache:
-    """Reads each wanted manifest in a task of its own and retries on failure."""
+    """Reads each wanted manifest in a task of its own and retries on failure.
+
+    `monotonic` reads a monotonic clock in seconds.
+    """
 
-    def __init__(self, client: WeightClient, rng: random.Random) -> None:
+    def __init__(
+        self,
+        client: WeightClient,
+        rng: random.Random,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._client = client
         self._rng = rng
+        self._monotonic = monotonic
+        self._read_at: dict[tuple[str, str], float] = {}
         self._manifests: dict[tuple[str, str], Manifest] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
 
@@ -38,23 +56,35 @@
         for key in self._tasks.keys() - keys:
             await cancel_tasks(self._tasks.pop(key))
             self._manifests.pop(key, None)
+            self._read_at.pop(key, None)
 
-    async def invalidate(self, model: str, version: str) -> None:
-        """Drop a manifest, so that the next `get` reads it again."""
-        self._manifests.pop((model, version), None)
-        task = self._tasks.pop((model, version), None)
-        if task is not None:
-            await cancel_tasks(task)
+    def recheck(self, digest: str) -> None:
+        """Read the manifest with a whole digest again, unless that was just done."""
+        for key, manifest in self._manifests.items():
+            is_due = (
+                self._tasks[key].done()
+                and self._monotonic() >= self._read_at[key] + RECHECK_INTERVAL_S
+            )
+            if manifest.digest == digest and is_due:
+                self._tasks[key] = asyncio.create_task(self._read(*key))
 
     async def _read(self, model: str, version: str) -> None:
         delay = RETRY_S
+        key = (model, version)
         while True:
+            self._read_at[key] = self._monotonic()
             try:
                 manifest = await self._client.get_manifest(model, version)
             except (PlatformError, ManifestError) as exc:
                 log.event("manifest_failed", model=model, version=version, reason=exc)
             else:
-                self._manifests[model, version] = manifest
+                old, self._manifests[key] = self._manifests.get(key), manifest
+                log.event(
+                    "manifest_read",
+                    model=model,
+                    version=version,
+                    changed=old is not None and old != manifest,
+                )
                 return
             await asyncio.sleep(delay * (0.5 + self._rng.random()))
             delay = min(delay * 2, RETRY_MAXIMUM_S)
--- a/packages/entry/tests/rollout_controller_tests.py
+++ b/packages/entry/tests/rollout_controller_tests.py
@@ -1,7 +1,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import unittest
+from dataclasses import replace
 
 from marigold.core.exceptions import LeaseLostError
 from marigold.core.schema.generated.lists import ModelAllowance, PlanAllowance
@@ -9,6 +11,7 @@
 from marigold.core.schema.generated.records import HostRecord, Manifest
 from marigold.entry.lists.compiled import CompiledLists
 from marigold.entry.rollout.controller import RolloutController
+from marigold.entry.rollout.manifests import RECHECK_INTERVAL_S, ManifestCache
 from marigold.entry.rollout.order_tracker import OrderTracker
 from marigold.entry.rollout.wanted import compute_wanted
 from marigold.entry.routing.load import TargetView
@@ -220,3 +223,48 @@
         tracker.record_sent(record, ("key",), 0.0)
         self.assertFalse(tracker.is_due(record, ("key",), 1.0))
         self.assertTrue(tracker.is_due(record, ("key",), 6.0))
+
+
+class FakeClient:
+    def __init__(self, *manifests):
+        self.manifests = list(manifests)
+
+    async def get_manifest(self, model, version):
+        return self.manifests.pop(0)
+
+
+class ManifestCacheTests(unittest.IsolatedAsyncioTestCase):
+    """Guards against a rollout that goes on with a corrupt manifest."""
+
+    async def read(self, *manifests):
+        self.now = 10.0
+        self.client = FakeClient(*manifests)
+        cache = ManifestCache(self.client, random.Random(1), lambda: self.now)
+        self.addAsyncCleanup(cache.stop)
+        cache.get("assistant", "2")
+        await asyncio.sleep(0)
+        return cache
+
+    async def recheck(self, cache, digest):
+        cache.recheck(digest)
+        await asyncio.sleep(0)
+        return cache.get("assistant", "2")
+
+    async def test_manifest_in_doubt_is_read_again(self):
+        corrupt = replace(MANIFEST, digest="c" * 64)
+        cache = await self.read(corrupt, MANIFEST)
+        self.now += RECHECK_INTERVAL_S
+        self.assertEqual(await self.recheck(cache, corrupt.digest), MANIFEST)
+
+    async def test_doubts_of_many_hosts_cause_one_read(self):
+        cache = await self.read(MANIFEST, MANIFEST, MANIFEST)
+        self.now += RECHECK_INTERVAL_S
+        for _ in range(10):
+            self.assertEqual(await self.recheck(cache, MANIFEST.digest), MANIFEST)
+        self.assertEqual(len(self.client.manifests), 1)
+
+    async def test_doubt_of_an_earlier_manifest_causes_no_read(self):
+        cache = await self.read(MANIFEST, MANIFEST)
+        self.now += RECHECK_INTERVAL_S
+        await self.recheck(cache, "c" * 64)
+        self.assertEqual(len(self.client.manifests), 1)
--- a/packages/standins/src/marigold/standins/faults.py
+++ b/packages/standins/src/marigold/standins/faults.py
@@ -21,6 +21,7 @@
     host_lag: float = 0.0
     weight_rate: float = 0.0
     corrupt_chunks: int = 0
+    corrupt_manifests: int = 0
     weight_delay: float = 0.0
 
 
--- a/packages/standins/src/marigold/standins/origin.py
+++ b/packages/standins/src/marigold/standins/origin.py
@@ -91,7 +91,12 @@
 
     async def get_manifest(self, req: web.Request) -> web.Response:
         """Return a manifest."""
-        return web.json_response(self._find(req)[1])
+        manifest = self._find(req)[1]
+        if consume_fault(self._faults, "corrupt_manifests"):
+            first, *others = manifest["chunks"]
+            digit = "0" if first[0] != "0" else "1"
+            manifest = manifest | {"chunks": [digit + first[1:], *others]}
+        return web.json_response(manifest)
 
     async def get_chunk(self, req: web.Request) -> web.StreamResponse:
         """Send a chunk at the rate of the origin's link."""
--- a/packages/target/src/marigold/target/weights/orders.py
+++ b/packages/target/src/marigold/target/weights/orders.py
@@ -65,17 +65,41 @@
 
 
 class Job:
-    """Execution of an order, current or finished."""
+    """Execution of an order, current or finished.
 
-    __slots__ = ("download", "link", "order", "state", "task")
+    `previous` is the download of an order for the same version that was running as this
+    one came. `is_doubted` is whether the verified chunks do not match the whole digest
+    of the manifest.
+    """
+
+    __slots__ = (
+        "download",
+        "is_doubted",
+        "link",
+        "order",
+        "previous",
+        "state",
+        "task",
+    )
 
-    def __init__(self, order: LoadOrder, link: Link) -> None:
+    def __init__(
+        self, order: LoadOrder, link: Link, previous: Download | None = None
+    ) -> None:
         self.order = order
         self.link = link
+        self.previous = previous
         self.state = "accepted"
+        self.is_doubted = False
         self.download: Download | None = None
         self.task: asyncio.Task[None] | None = None
 
+    def get_doubted(self) -> str:
+        """Return the digest of the manifest if something contradicts it."""
+        if self.download is None:
+            return ""
+        is_doubted = self.is_doubted or bool(self.download.evidence.reasons)
+        return self.download.digest if is_doubted else ""
+
     def is_ended(self) -> bool:
         """Return whether the job has reached a final state."""
         return self.state in ("confirmed", "failed", "refused", "cancelled")
@@ -155,8 +179,7 @@
         await self._report_job(job)
 
     async def _start_job(self, link: Link, order: LoadOrder) -> None:
-        await self._stop_job(order.version)
-        job = Job(order, link)
+        job = Job(order, link, await self._stop_job(order.version))
         self._jobs[order.version] = job
         log.event(
             "order_accepted",
@@ -168,14 +191,16 @@
         run = self._load if order.operation == "load" else self._unload
         job.task = asyncio.create_task(self._run(job, run))
 
-    async def _stop_job(self, version: str) -> None:
+    async def _stop_job(self, version: str) -> Download | None:
+        """Stop the job of a version, if any; return its download if it was running."""
         job = self._jobs.pop(version, None)
         if job is None:
-            return
+            return None
         if job.task is not None:
             await cancel_tasks(job.task)
         if job.download is not None:
             await self._exchange.drop(job.download.digest)
+        return None if job.is_ended() else job.download
 
     async def _cancel_unwanted(self, order: LoadOrder) -> None:
         for version, job in list(self._jobs.items()):
@@ -224,16 +249,35 @@
         manifest = load_manifest(job.order.manifest)
         job.state = "fetching"
         job.download = self._exchange.start(manifest, job.order)
-        await self._fetch_verified(job.download)
+        self._keep_chunks(job)
+        await self._fetch_verified(job)
         job.state = "loading"
         await self._load_confirmed(job, manifest)
         await self._gate.refresh()
 
-    async def _fetch_verified(self, download: Download) -> None:
+    def _keep_chunks(self, job: Job) -> None:
+        """Mark chunks that the engine has from the previous order as held.
+
+        They are verified again before the load.
+        """
+        download, previous = job.download, job.previous
+        if previous is None:
+            return
+        chunks = dict(enumerate(previous.manifest.chunks))
+        for index, digest in enumerate(download.manifest.chunks):
+            if index in previous.held and chunks[index] == digest:
+                self._exchange.add_held(download, index)
+
+    async def _fetch_verified(self, job: Job) -> None:
         """Fetch until the bytes stored by the engine match the whole digest."""
+        download = job.download
         for _ in range(LOAD_ATTEMPTS):
             await download.completed.wait()
-            corrupt = await self._find_corrupt_chunks(download.manifest)
+            try:
+                corrupt = await self._find_corrupt_chunks(download.manifest)
+            except ManifestError:
+                job.is_doubted = True
+                raise
             if not corrupt:
                 return
             for index in corrupt:
@@ -294,7 +338,9 @@
             await asyncio.sleep(PROGRESS_INTERVAL_S)
 
     async def _report_job(self, job: Job, detail: str = "") -> None:
-        await self._report(job.link, job.order, job.state, job.download, detail)
+        await self._report(
+            job.link, job.order, job.state, job.download, detail, job.get_doubted()
+        )
 
     async def _report(
         self,
@@ -303,6 +349,7 @@
         state: str,
         download: Download | None,
         detail: str,
+        doubted: str = "",
     ) -> None:
         progress = OrderProgress(
             order=order.order,
@@ -310,6 +357,7 @@
             chunks=len(download.held) if download else 0,
             total=len(download.manifest.chunks) if download else 0,
             detail=detail,
+            doubted=doubted,
         )
         try:
             await link.send(progress)
--- a/packages/target/tests/orders_tests.py
+++ b/packages/target/tests/orders_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from dataclasses import replace
 
 from gate_fakes import FakeLink
 
@@ -147,6 +148,22 @@
         await self.orders.handle_order(self.link, self.make_order())
         await self.wait_for_state("load-2", "failed")
         self.assertEqual(self.engine.versions, ["1"])
+        self.assertEqual(self.link.get(OrderProgress)[-1].doubted, "0" * 64)
+
+    async def test_order_with_another_manifest_keeps_the_chunks_that_match_it(self):
+        """Guards against a copy that a wrong digit holds up for good."""
+        sound = self.store.manifest
+        chunks = ["0" * 64, *sound.chunks[1:]]
+        self.store.manifest = replace(sound, chunks=chunks)
+        await self.orders.handle_order(self.link, self.make_order())
+        async with asyncio.timeout(10):
+            while not any(item.doubted for item in self.link.get(OrderProgress)):
+                await asyncio.sleep(0.01)
+        self.store.manifest = sound
+        reads = self.store.reads
+        await self.orders.handle_order(self.link, self.make_order())
+        await self.wait_for_state("load-2", "confirmed")
+        self.assertEqual(self.store.reads, reads + 1)
 
     async def test_load_of_an_unwanted_version_is_cancelled(self):
         self.store.is_down = True
--- a/tests/rollout_tests.py
+++ b/tests/rollout_tests.py
@@ -48,6 +48,14 @@
         await wait_for_removal(self.fleet, "assistant", "1")
         self.assertEqual(await get_origin_bytes(self.fleet), SIZE_BYTES)
 
+    async def test_manifest_with_a_wrong_digit_is_read_again(self):
+        """Guards against a rollout that waits for a chunk that never matches."""
+        await publish_weights(self.fleet, "assistant", "2", SIZE_BYTES, 50_000)
+        await self.fleet.set_faults(self.fleet.platform_url, corrupt_manifests=1)
+        await self.apply_version("2")
+        self.assertEqual(await wait_for_version(self.fleet, "assistant", "2"), 2)
+        await self.check_answer("2")
+
     async def test_loaded_version_serves_until_weights_are_published(self):
         await self.apply_version("2")
         await self.apply_version("3")
