Compare manifests with the chunks that the configuration states

Callers could get tokens of mixed weights: a manifest of version 2 with one digest too few was taken as it is, and the runner loaded version 2 with its last chunk still that of version 1.

Cause: what a version consists of was taken from the manifest alone, one answer of the origin, although the configuration states the number and size of the chunks. Ruled out: a chunk that is staged late or lost (no such call is made).

Hubs compare a manifest with the configuration in force before they cache it, and companions before they use it, also one that they got without a hub. An unfit manifest is an error, and the next request names it as doubted, so that a hub with another configuration does not repeat it. A load is therefore ordered only when each stated chunk was compared.

--- a/packages/core/src/marigold/core/platform/weights.py
+++ b/packages/core/src/marigold/core/platform/weights.py
@@ -14,6 +14,7 @@
     PlatformUnreachableError,
     WeightsNotFoundError,
 )
+from marigold.core.schema.generated.deployment import EngineModel
 from marigold.core.schema.generated.records import Manifest
 from marigold.core.schema.generated.settings import Platform
 
@@ -39,6 +40,25 @@
     return manifest
 
 
+def check_shape(manifest: Manifest, engine: EngineModel | None) -> None:
+    """Compare a manifest with the chunks that the configuration states.
+
+    A corrupt manifest may be well-formed but too short, and a runner would load what it
+    has staged in place of the chunks that are not named. `engine` is None if the
+    configuration does not have the model; sizes that are 0 are not stated. Raise
+    `ManifestError`.
+    """
+    if engine is None:
+        return
+    found = (len(manifest.chunks), manifest.chunk_size)
+    stated = (engine.chunks or found[0], engine.chunk_bytes or found[1])
+    if found != stated:
+        raise ManifestError(
+            f"the manifest has {found[0]} chunks of {found[1]} bytes, "
+            f"the configuration states {stated[0]} of {stated[1]}"
+        )
+
+
 def dump_manifest(manifest: Manifest) -> bytes:
     """Return a manifest in JSON."""
     return _CONVERTER.dumps(manifest).encode()
--- a/packages/entry/src/marigold/entry/hub/hub.py
+++ b/packages/entry/src/marigold/entry/hub/hub.py
@@ -189,7 +189,11 @@
             preferred,
         )
         self._neighbours.scheduler = self._scheduler
-        self._manifests = ManifestProxy(get_origin, manifests_requested)
+        self._manifests = ManifestProxy(
+            get_origin,
+            partial(_find_engine, get_engine, get_services),
+            manifests_requested,
+        )
         # The hub does not share the table of its own entry, but receives the updates of
         # that entry in the same way as those of others.
         table = SuspectTable()
@@ -351,6 +355,16 @@
         self._scheduler.start_waiting(view.runner.service, view)
 
 
+def _find_engine(
+    get_engine: Callable[[str], EngineModel | None],
+    get_services: Callable[[], Sequence[str]],
+    model: str,
+) -> EngineModel | None:
+    """Return the cost model of the first service that has a model, or None."""
+    engines = (get_engine(name) for name in get_services())
+    return next((item for item in engines if item and model in item.models), None)
+
+
 class _CompanionChannel(LinkChannel):
     """Channel to a companion that passes load reports to a handler."""
 
--- a/packages/entry/src/marigold/entry/hub/manifests.py
+++ b/packages/entry/src/marigold/entry/hub/manifests.py
@@ -22,7 +22,12 @@
 from marigold.core.logging import get_logger
 from marigold.core.metrics import Counter
 from marigold.core.platform.adapter import WeightSource
-from marigold.core.platform.weights import abbreviate_digest, dump_manifest
+from marigold.core.platform.weights import (
+    abbreviate_digest,
+    check_shape,
+    dump_manifest,
+)
+from marigold.core.schema.generated.deployment import EngineModel
 from marigold.core.schema.generated.messages import ManifestAnswer, ManifestAsk
 
 log = get_logger(__name__)
@@ -51,17 +56,20 @@
 class ManifestProxy:
     """Fetches manifests from the origin and sends each one to many companions.
 
-    `get_source` returns None if there is no origin. `outcomes` counts the requests to
+    `get_source` returns None if there is no origin, and `get_engine` the cost model of
+    the engines of a model, or None. `outcomes` counts the requests to
     the origin. `clock` reads boot time in seconds.
     """
 
     def __init__(
         self,
         get_source: Callable[[], WeightSource | None],
+        get_engine: Callable[[str], EngineModel | None],
         outcomes: Counter,
         clock: Callable[[], float] = get_boottime,
     ) -> None:
         self._get_source = get_source
+        self._get_engine = get_engine
         self._outcomes = outcomes
         self._clock = clock
         self._cached: dict[tuple[str, int], _CachedAnswer] = {}
@@ -105,6 +113,7 @@
             source = self._get_source()
             if source is not None:
                 manifest = await source.get_manifest(model, version or None)
+                check_shape(manifest, self._get_engine(model))
                 answer.manifest = dump_manifest(manifest)
                 digest = manifest.digest
                 outcome = _compare(cached, digest)
--- a/packages/entry/tests/hub_manifests_tests.py
+++ b/packages/entry/tests/hub_manifests_tests.py
@@ -8,6 +8,7 @@
 from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
 from marigold.core.metrics import Counter
 from marigold.core.platform.weights import load_manifest
+from marigold.core.schema.generated.deployment import EngineModel
 from marigold.core.schema.generated.messages import ManifestAsk
 from marigold.core.schema.generated.records import Manifest
 from marigold.entry.hub.manifests import RECHECK_INTERVAL_S, ManifestProxy
@@ -44,7 +45,13 @@
         self.origin = FakeOrigin()
         self.now = 100.0
         self.outcomes = Counter("manifests", "", ("outcome",))
-        self.proxy = ManifestProxy(lambda: self.origin, self.outcomes, lambda: self.now)
+        self.engine = EngineModel(slots=1, chunks=2, chunk_bytes=4)
+        self.proxy = ManifestProxy(
+            lambda: self.origin,
+            lambda model: self.engine,
+            self.outcomes,
+            lambda: self.now,
+        )
         self.channels = [RecordingChannel(f"c{number}") for number in range(30)]
 
     async def request_all(self, version=2, doubted=()):
@@ -87,6 +94,16 @@
         await self.request_all()
         self.assertTrue(self.channels[0].sent[0].gone)
 
+    async def test_manifest_with_other_chunks_than_configured_is_not_sent(self):
+        """Guards against chunks of an earlier version in a load, or none that fit."""
+        for chunks, size in ((3, 4), (1, 4), (2, 5)):
+            self.engine = EngineModel(slots=1, chunks=chunks, chunk_bytes=size)
+            await self.request_all()
+            self.assertFalse(self.channels[0].sent[-1].manifest)
+        self.engine = EngineModel(slots=1)
+        await self.request_all()
+        self.assertTrue(self.channels[0].sent[-1].manifest)
+
     async def test_newest_version_is_not_cached(self):
         await self.request_all(version=0)
         await self.request_all(version=0)
--- a/packages/target/src/marigold/target/companion/manifests.py
+++ b/packages/target/src/marigold/target/companion/manifests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from marigold.core.exceptions import (
     ManifestError,
@@ -11,7 +11,8 @@
     WeightsNotFoundError,
 )
 from marigold.core.platform.adapter import WeightSource
-from marigold.core.platform.weights import load_manifest
+from marigold.core.platform.weights import check_shape, load_manifest
+from marigold.core.schema.generated.deployment import EngineModel
 from marigold.core.schema.generated.messages import ManifestAsk
 from marigold.core.schema.generated.records import Manifest
 from marigold.target.companion.cache_updater import CacheUpdater
@@ -21,11 +22,22 @@
 
 
 class HubManifestSource(WeightSource):
-    """Weight source that asks the hub for manifests while one is linked."""
+    """Weight source that asks the hub for manifests while one is linked.
 
-    def __init__(self, origin: WeightSource, updater: CacheUpdater) -> None:
+    `get_engine` returns the cost model of the engines, whose chunks all manifests must
+    have. A manifest that does not fit it is named as doubted with the next request.
+    """
+
+    def __init__(
+        self,
+        origin: WeightSource,
+        updater: CacheUpdater,
+        get_engine: Callable[[], EngineModel | None],
+    ) -> None:
         self._origin = origin
         self._updater = updater
+        self._get_engine = get_engine
+        self._unfit: dict[int, str] = {}
 
     async def get_manifest(
         self, model: str, version: int | None, doubted: Collection[str] = ()
@@ -35,6 +47,20 @@
         The hub asks the origin again if it has one of the `doubted` manifests. Raise
         `WeightsNotFoundError`, `ManifestError` or `PlatformUnreachableError`.
         """
+        unfit = self._unfit.pop(version or 0, "")
+        if unfit:
+            doubted = [*doubted, unfit]
+        manifest = await self._get_manifest(model, version, doubted)
+        try:
+            check_shape(manifest, self._get_engine())
+        except ManifestError:
+            self._unfit[version or 0] = manifest.digest
+            raise
+        return manifest
+
+    async def _get_manifest(
+        self, model: str, version: int | None, doubted: Collection[str]
+    ) -> Manifest:
         if not self._updater.has_hub:
             return await self._origin.get_manifest(model, version, doubted)
         req = ManifestAsk(model=model, version=version or 0, doubted=list(doubted))
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -225,7 +225,7 @@
             async with serve_links(Address(host=host, port=port), ctx, serve):
                 model, origin, engine = await self._find_model()
                 weights = adapter.make_weight_source(origin_session, origin.address)
-                source = HubManifestSource(weights, updater)
+                source = HubManifestSource(weights, updater, self._get_engine)
                 driver = adapter.make_runner_driver(session, cfg.runner, CALL_TIMEOUT_S)
                 reconciler = self._build(
                     driver, source, ctx, loads, model, origin, engine
@@ -354,6 +354,16 @@
                     return engine.models[0], origin, engine
             await asyncio.sleep(CONFIGURATION_POLL_S)
 
+    def _get_engine(self) -> EngineModel | None:
+        """Return the cost model of this service in the newest configuration."""
+        configurations = self._configurations.items.values()
+        newest = max(configurations, key=lambda item: item.version, default=None)
+        if newest is None:
+            return None
+        names = {item.name: item for item in newest.services}
+        service = names.get(self._cfg.service)
+        return None if service is None else service.engine
+
     def _get_peers(self) -> dict[str, Runner]:
         """Return the service's runners by the address of their companion."""
         _, port = split_address(self._cfg.peers)
--- a/packages/target/tests/cache_updater_tests.py
+++ b/packages/target/tests/cache_updater_tests.py
@@ -6,14 +6,18 @@
 
 from companion_fakes import FakeSource
 
-from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
+from marigold.core.exceptions import (
+    ManifestError,
+    PlatformUnreachableError,
+    WeightsNotFoundError,
+)
 from marigold.core.links.identity import Identity
 from marigold.core.platform.feeds import FeedFollower
 from marigold.core.platform.object_cache import ObjectCache
 from marigold.core.platform.part_codecs import ItemCodec
 from marigold.core.platform.replication import CacheSubscriber, Publisher
 from marigold.core.platform.weights import dump_manifest
-from marigold.core.schema.generated.deployment import WantedVersion
+from marigold.core.schema.generated.deployment import EngineModel, WantedVersion
 from marigold.core.schema.generated.messages import (
     Ages,
     AskAges,
@@ -94,23 +98,40 @@
 class HubManifestSourceTests(CacheUpdaterTestCase):
     def setUp(self):
         super().setUp()
-        self.manifests = HubManifestSource(FakeSource(2), self.updater)
+        self.engine = EngineModel(slots=1)
+        self.manifests = HubManifestSource(
+            FakeSource(2), self.updater, lambda: self.engine
+        )
 
     async def test_origin_is_asked_without_a_hub(self):
         manifest = await self.manifests.get_manifest("m", 2)
         self.assertEqual(manifest.version, "2")
 
-    async def test_hub_answers_instead_of_the_origin(self):
+    def attach_with_manifest(self):
+        """Attach a hub that sends a manifest with one chunk of 4 bytes."""
         hub = self.attach("h1", 2)
         manifest = Manifest(
             model="m", version="7", size=4, chunk_size=4, chunks=[DIGEST], digest=DIGEST
         )
         data = dump_manifest(manifest)
         hub.answer = ManifestAnswer(model="m", version=7, manifest=data)
+        return hub
+
+    async def test_hub_answers_instead_of_the_origin(self):
+        self.attach_with_manifest()
         # The hub answers while the request is being sent.
         task = asyncio.create_task(self.manifests.get_manifest("m", 7))
         self.assertEqual((await task).version, "7")
 
+    async def test_manifest_with_other_chunks_than_configured_is_doubted(self):
+        """Guards against a hub that sends the same unfit manifest again."""
+        hub = self.attach_with_manifest()
+        self.engine = EngineModel(slots=1, chunks=2, chunk_bytes=4)
+        for doubted in ([], [DIGEST]):
+            with self.assertRaises(ManifestError):
+                await self.manifests.get_manifest("m", 7)
+            self.assertEqual(hub.sent[-1].doubted, doubted)
+
     async def test_version_that_no_longer_exists(self):
         self.attach("h1", 2).answer = ManifestAnswer(model="m", version=7, gone=True)
         with self.assertRaises(WeightsNotFoundError):
