Give up a version only when a newer one is known

Callers would see every model request refused from the bound of a version on, after one answer 404 or 410 of the origin for its manifest: the companions gave the version up for good, and the hub repeated the answer to all of them.

Cause: a denial was kept as if it could not be wrong. The origin drops a version only when two newer ones are named, so for the newest version the answer contradicts what operators said. Shown by `version_unavailable`, once, with no further request to the origin.

A denied version is given up where a newer one is known, as before, or where the origin names one; a version that operators did not name also where the origin has older ones only. Otherwise the companion asks again after 0.5 s, and after 10 s for the version that it only serves to peers. The hub repeats a denial for 0.5 s, so that companions cannot flood the origin.

--- a/packages/entry/src/marigold/entry/hub/manifests.py
+++ b/packages/entry/src/marigold/entry/hub/manifests.py
@@ -32,15 +32,15 @@
 
 log = get_logger(__name__)
 
-# Minimum seconds between two requests to the origin for a manifest in doubt, as all
-# companions of a cell may doubt it one after another.
+# Minimum seconds between two requests to the origin for a manifest in doubt or a
+# version that it denied, as all companions of a cell may ask one after another.
 RECHECK_INTERVAL_S = 0.5
 # Enough for all versions that may be in distribution at once.
 CACHED_MANIFESTS_MAXIMUM = 4
 
 
 class _CachedAnswer:
-    """Answer of the origin; `digest` is that of its manifest, empty without one.
+    """Answer of the origin; `digest` is that of its manifest, empty if it denied one.
 
     `asked_at` is the boot time in seconds of the last request.
     """
@@ -97,7 +97,7 @@
 
     def _is_sufficient(self, cached: _CachedAnswer, doubted: list[str]) -> bool:
         """Return whether a cached answer is sent rather than requested again."""
-        if cached.digest not in doubted:
+        if cached.digest and cached.digest not in doubted:
             return True
         return self._clock() < cached.asked_at + RECHECK_INTERVAL_S
 
@@ -134,7 +134,8 @@
         finally:
             channels = self._waiting.pop(key, [])
         self._outcomes.add(outcome)
-        if version and (answer.manifest or (answer.gone and cached is None)):
+        has_manifest = cached is not None and bool(cached.digest)
+        if version and (answer.manifest or (answer.gone and not has_manifest)):
             self._cached[key] = _CachedAnswer(answer, digest, self._clock())
             for old in list(self._cached)[:-CACHED_MANIFESTS_MAXIMUM]:
                 del self._cached[old]
--- a/packages/entry/tests/hub_manifests_tests.py
+++ b/packages/entry/tests/hub_manifests_tests.py
@@ -104,6 +104,17 @@
         await self.request_all()
         self.assertTrue(self.channels[0].sent[-1].manifest)
 
+    async def test_version_that_is_gone_is_requested_again_later(self):
+        """Guards against a named version that one wrong answer removes for good."""
+        self.origin.failure = WeightsNotFoundError("gone")
+        for _ in range(3):
+            await self.request_all()
+        self.assertEqual(self.origin.calls, 1)
+        self.origin.failure = None
+        self.now += RECHECK_INTERVAL_S
+        await self.request_all()
+        self.assertTrue(self.channels[0].sent[-1].manifest)
+
     async def test_newest_version_is_not_cached(self):
         await self.request_all(version=0)
         await self.request_all(version=0)
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -390,7 +390,8 @@
         name = max(named, key=lambda item: named[item].version, default=None)
         if name is not None:
             version = named[name].version
-            schedule.add(version, self._versions.valid_from.get(name, get_boottime()))
+            valid_from = self._versions.valid_from.get(name, get_boottime())
+            schedule.add(version, valid_from, is_named=True)
             log.event("version_named", model=model, version=version)
 
     async def _get_metrics(self, req: web.Request) -> web.Response:
--- a/packages/target/src/marigold/target/companion/reconciler.py
+++ b/packages/target/src/marigold/target/companion/reconciler.py
@@ -45,6 +45,10 @@
 # Seconds after the start in which the store lists the runners that hold a version. If
 # it lists none by then, all runners were restarted at once.
 VERSION_DISCOVERY_S = 4.0
+# Seconds until the origin is asked again for a manifest that it denied: of a version
+# that has to be loaded, and of one that is only served to peers.
+DENIED_RETRY_S = 0.5
+NOT_SERVED_RETRY_S = 10.0
 
 
 class WeightReconciler:
@@ -85,7 +89,7 @@
         self._clock = clock
         self._switching = switching
         self._started_at = clock()
-        self._without_manifest: set[int] = set()
+        self._denied_until: dict[int, float] = {}
         self._is_reachable = True
         self._is_copying = True
         self._paused_for: int | None = None
@@ -145,13 +149,19 @@
             return
         if self._clock() - self._started_at < VERSION_DISCOVERY_S:
             return
+        newest = await self._find_newest()
+        if newest is not None:
+            self._schedule.add(newest, self._clock())
+
+    async def _find_newest(self) -> int | None:
+        """Return the newest version at the origin, None if it names none."""
         try:
             manifest = await self._source.get_manifest(self._model, None)
         except (PlatformError, ManifestError) as exc:
             log.routine("manifest_failed", version="newest", reason=exc)
-            return
+            return None
         log.event("newest_version", model=self._model, version=manifest.version)
-        self._schedule.add(int(manifest.version), self._clock())
+        return int(manifest.version)
 
     async def _copy_next(self, own: int | None) -> list[ScheduledVersion]:
         """Copy the first incomplete version; return the pending versions."""
@@ -167,28 +177,51 @@
 
     async def _copy_version(self, version: int) -> bool:
         """Continue the copy of a version; return whether it is complete."""
+        if self._is_denied(version):
+            return False
         try:
             return (await self._copies.start_or_update(version)).is_complete()
         except WeightsNotFoundError as exc:
-            # The origin keeps the newest versions only, so this one cannot be fetched.
-            log.event("version_unavailable", version=version, reason=exc)
-            self._schedule.mark_unavailable(version)
+            await self._handle_denial(version, exc)
         except (PlatformError, ManifestError) as exc:
             log.routine("manifest_failed", version=version, reason=exc)
         return False
 
+    def _is_denied(self, version: int) -> bool:
+        """Return whether the origin denied a version and is not to be asked yet."""
+        return self._clock() < self._denied_until.get(version, 0.0)
+
+    async def _handle_denial(self, version: int, reason: Exception) -> None:
+        """Give up a version that the origin denies, or ask for it again later."""
+        newest = None
+        if version == self._schedule.get_newest():
+            self._denied_until[version] = self._clock() + DENIED_RETRY_S
+            newest = await self._find_newest()
+        is_lost = self._schedule.is_lost(version, newest)
+        log.event(
+            "version_denied",
+            version=version,
+            newest=newest,
+            is_lost=is_lost,
+            reason=reason,
+        )
+        if newest is not None and newest > version:
+            self._schedule.add(newest, self._clock())
+        if is_lost:
+            self._schedule.mark_unavailable(version)
+
     async def _serve_to_peers(self, version: int | None) -> None:
         """Let peers fetch the version that the runner holds.
 
         A version without a manifest cannot be verified and is not served. The origin
         has manifests of the newest versions only.
         """
-        if version is None or version in self._without_manifest:
+        if version is None or self._is_denied(version):
             return
         try:
             await self._copies.start_or_update(version)
         except WeightsNotFoundError as exc:
-            self._without_manifest.add(version)
+            self._denied_until[version] = self._clock() + NOT_SERVED_RETRY_S
             log.event("version_not_served", version=version, reason=exc)
         except (PlatformError, ManifestError) as exc:
             log.routine("manifest_failed", version=version, reason=exc)
--- a/packages/target/src/marigold/target/companion/version_schedule.py
+++ b/packages/target/src/marigold/target/companion/version_schedule.py
@@ -25,6 +25,7 @@
 class ScheduledVersion:
     """A version and the boot time by which it has to be loaded.
 
+    `is_named` is whether operators named it, rather than runners or the origin.
     `replaces` are earlier versions that can be skipped, by all hosts or, if `is_split`
     is set, by leading hosts only. `leading_fraction` is their fraction, None for the
     usual choice of them.
@@ -32,6 +33,7 @@
 
     __slots__ = (
         "due_at",
+        "is_named",
         "is_split",
         "leading_fraction",
         "named_at",
@@ -43,6 +45,7 @@
         self.version = version
         self.named_at = named_at
         self.due_at = due_at
+        self.is_named = False
         self.replaces: frozenset[int] = frozenset()
         self.is_split = False
         self.leading_fraction: float | None = None
@@ -82,7 +85,7 @@
         self.choose_skip: SkipPolicy = _keep_preferred
         self.revision = 0
 
-    def add(self, version: int, now: float) -> None:
+    def add(self, version: int, now: float, is_named: bool = False) -> None:
         """Add a version that operators named or that other runners hold.
 
         The earliest time counts: other runners hold it only after it was named.
@@ -91,6 +94,7 @@
             return
         known = self._versions.get(version)
         if known is not None:
+            known.is_named |= is_named
             if now < known.named_at:
                 known.named_at, known.due_at = now, now + self._time_limit
                 self.revision += 1
@@ -100,6 +104,7 @@
                         self._compare(item)
             return
         scheduled = ScheduledVersion(version, now, now + self._time_limit)
+        scheduled.is_named = is_named
         self._compare(scheduled)
         self._versions[version] = scheduled
         self.revision += 1
@@ -130,6 +135,21 @@
         ]
         return min(due)
 
+    def is_lost(self, version: int, newest: int | None) -> bool:
+        """Return whether a version is to be given up that the origin denies.
+
+        The origin keeps the newest versions, and one of its answers may be wrong, so a
+        newer version has to be known, or be `newest`, its newest one by other answers
+        (None if it names none). A version that operators did not name is also given up
+        if the origin has older ones only, as entries of runners may be wrong too.
+        """
+        known = self._versions.get(version)
+        if known is None or version != self.get_newest():
+            return True
+        if newest is None:
+            return False
+        return newest > version or (newest < version and not known.is_named)
+
     def mark_unavailable(self, version: int) -> None:
         """Remove a version that can no longer be fetched; ignore it if added again."""
         self._versions.pop(version, None)
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -15,7 +15,7 @@
     make_manifest,
 )
 
-from marigold.core.exceptions import PlatformUnreachableError
+from marigold.core.exceptions import PlatformUnreachableError, WeightsNotFoundError
 from marigold.core.schema.generated.deployment import HeldModel, Runner
 from marigold.target.companion.copies import (
     FIRST_COPY_MARGIN_S,
@@ -26,7 +26,11 @@
 from marigold.target.companion.loads import LoadReporter
 from marigold.target.companion.metrics import CompanionMetrics
 from marigold.target.companion.peer_directory import PeerDirectory
-from marigold.target.companion.reconciler import WeightReconciler
+from marigold.target.companion.reconciler import (
+    DENIED_RETRY_S,
+    NOT_SERVED_RETRY_S,
+    WeightReconciler,
+)
 from marigold.target.companion.staging import StagedEngine
 from marigold.target.companion.switch_stagger import SWITCH_MARGIN_S, SwitchStagger
 from marigold.target.companion.version_schedule import VersionSchedule
@@ -197,6 +201,52 @@
         await self.reconcile(BOUND_S)
         self.assertEqual([order[0] for order in self.driver.orders], [3])
 
+    def answer(self, *versions):
+        """Let the origin's next answers name these versions, None for a denial."""
+        answers = list(versions)
+        get_manifest = self.source.get_manifest
+
+        async def get_next(model, version, doubted=()):
+            named = answers.pop(0) if answers else version
+            if named is None:
+                raise WeightsNotFoundError("denied")
+            return await get_manifest(model, named, doubted)
+
+        self.source.get_manifest = get_next
+
+    async def test_newest_version_that_the_origin_denies_once_is_loaded(self):
+        """Guards against runners without a version that operators named."""
+        self.schedule.add(2, self.now, is_named=True)
+        self.answer(None, 2, 2)
+        await self.reconcile()
+        await self.reconcile(DENIED_RETRY_S)
+        await self.complete_copy(2)
+        await self.reconcile(0.1)
+        self.assertEqual([order[0] for order in self.driver.orders], [2])
+
+    async def test_version_that_the_origin_replaced_meanwhile_is_given_up(self):
+        self.source.versions = {3, 4}
+        self.schedule.add(2, self.now, is_named=True)
+        await self.reconcile()
+        await self.reconcile(DENIED_RETRY_S)
+        self.assertEqual(self.schedule.get_newest(), 4)
+
+    async def test_version_that_only_a_wrong_entry_names_is_given_up(self):
+        """Guards against an entry of another writer that holds up all versions."""
+        self.schedule.add(99, self.now)
+        await self.reconcile()
+        await self.reconcile(5.0)
+        self.assertEqual(self.schedule.get_newest(), 2)
+
+    async def test_held_version_that_the_origin_denies_once_is_served_later(self):
+        self.driver.held = [HeldModel(model="m", version=2)]
+        self.schedule.add(2, 0.0)
+        self.answer(None)
+        await self.reconcile()
+        self.assertIsNone(self.copies.get(2))
+        await self.reconcile(NOT_SERVED_RETRY_S)
+        self.assertIsNotNone(self.copies.get(2))
+
     async def test_report_is_read_while_the_origin_is_unreachable(self):
         self.driver.held = [HeldModel(model="m", version=1)]
         self.schedule.add(2, self.now)
