Take the newest version only from two equal answers

A companion that nobody names a version to asks the origin for its newest one. A wrong digit in the version number of that one answer put a version that does not exist into the schedule, where it may replace the one that operators name next, and its runner stays without weights.

Cause: the number is compared with the one that was asked for, and here none was. Two answers in a row now have to agree; nothing else contradicts a wrong number. This costs one request more after a start without a named version, and after a denial of the newest one.

Test: `companion_tests...test_version_that_one_answer_of_the_origin_names_is_not_loaded` failed before (version 9 after one wrong answer).

--- a/packages/target/src/marigold/target/companion/reconciler.py
+++ b/packages/target/src/marigold/target/companion/reconciler.py
@@ -154,14 +154,20 @@
             self._schedule.add(newest, self._clock())
 
     async def _find_newest(self) -> int | None:
-        """Return the newest version at the origin, None if it names none."""
+        """Return the newest version at the origin, None if two answers do not agree.
+
+        Nothing else tells a corrupt version number from a sound one.
+        """
+        found = []
         try:
-            manifest = await self._source.get_manifest(self._model, None)
+            for _ in range(2):
+                manifest = await self._source.get_manifest(self._model, None)
+                found.append(int(manifest.version))
         except (PlatformError, ManifestError) as exc:
             log.routine("manifest_failed", version="newest", reason=exc)
             return None
-        log.event("newest_version", model=self._model, version=manifest.version)
-        return int(manifest.version)
+        log.event("newest_version", model=self._model, versions=found)
+        return found[0] if found[0] == found[1] else None
 
     async def _copy_next(self, own: int | None) -> list[ScheduledVersion]:
         """Copy the first incomplete version; return the pending versions."""
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -238,6 +238,15 @@
         await self.reconcile(5.0)
         self.assertEqual(self.schedule.get_newest(), 2)
 
+    async def test_version_that_one_answer_of_the_origin_names_is_not_loaded(self):
+        """Guards against a copy that waits for a version that does not exist."""
+        self.source.versions = {2, 9}
+        self.answer(9, 2, 2, 2)
+        await self.reconcile(5.0)
+        self.assertIsNone(self.schedule.get_newest())
+        await self.reconcile(0.1)
+        self.assertEqual(self.schedule.get_newest(), 2)
+
     async def test_held_version_that_the_origin_denies_once_is_served_later(self):
         self.driver.held = [HeldModel(model="m", version=2)]
         self.schedule.add(2, 0.0)
