Follow the origin of weights in the configuration in force

After a configuration that names another origin, no runner would load a further version, and from its bound on callers would be refused: a companion kept the address that the first configuration had.

Cause: the address was read once, before the runner is reconciled, while a hub reads it for each request.

`ServiceConfiguration` gives the origin and the cost model of the configuration in force, and takes over the wait for the first one from the process.

Test: `platform_manifests_tests.CompanionManifestTests.test_origin_that_moves` failed before (nothing loaded in 15 s).

--- a/packages/target/src/marigold/target/companion/manifests.py
+++ b/packages/target/src/marigold/target/companion/manifests.py
@@ -24,17 +24,18 @@
 class HubManifestSource(WeightSource):
     """Weight source that asks the hub for manifests while one is linked.
 
-    `get_engine` returns the cost model of the engines, whose chunks all manifests must
+    `get_origin` returns the origin that the configuration in force names. `get_engine`
+    returns the cost model of the engines, whose chunks all manifests must
     have. A manifest that does not fit it is named as doubted with the next request.
     """
 
     def __init__(
         self,
-        origin: WeightSource,
+        get_origin: Callable[[], WeightSource],
         updater: CacheUpdater,
         get_engine: Callable[[], EngineModel | None],
     ) -> None:
-        self._origin = origin
+        self._get_origin = get_origin
         self._updater = updater
         self._get_engine = get_engine
         self._unfit: dict[int, str] = {}
@@ -62,7 +63,7 @@
         self, model: str, version: int | None, doubted: Collection[str]
     ) -> Manifest:
         if not self._updater.has_hub:
-            return await self._origin.get_manifest(model, version, doubted)
+            return await self._get_origin().get_manifest(model, version, doubted)
         req = ManifestAsk(model=model, version=version or 0, doubted=list(doubted))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -80,4 +81,4 @@
 
     async def get_chunk(self, manifest: Manifest, index: int, timeout: float) -> bytes:
         """Return a chunk, unchecked; `timeout` is the seconds without any bytes."""
-        return await self._origin.get_chunk(manifest, index, timeout)
+        return await self._get_origin().get_chunk(manifest, index, timeout)
--- a/packages/target/src/marigold/target/companion/process.py
+++ b/packages/target/src/marigold/target/companion/process.py
@@ -51,6 +51,7 @@
 from marigold.target.companion.metrics import CompanionMetrics
 from marigold.target.companion.peer_directory import PeerDirectory, get_held_version
 from marigold.target.companion.reconciler import WeightReconciler
+from marigold.target.companion.service_configuration import ServiceConfiguration
 from marigold.target.companion.staging import StagedEngine
 from marigold.target.companion.staging_calls import (
     CALL_TIMEOUT_S,
@@ -102,7 +103,6 @@
 UPLOAD_COPIES = 4.0
 CHUNK_SENDS = 32
 BUFFER_BYTES = 8 * 1024 * 1024
-CONFIGURATION_POLL_S = 0.05
 # Seconds that one watch of the configuration waits; a companion reads only the cost
 # model and the origin from it.
 CONFIGURATION_WAIT_S = 20.0
@@ -223,9 +223,15 @@
         reporter = asyncio.create_task(loads.run())
         try:
             async with serve_links(Address(host=host, port=port), ctx, serve):
-                model, origin, engine = await self._find_model()
-                weights = adapter.make_weight_source(origin_session, origin.address)
-                source = HubManifestSource(weights, updater, self._get_engine)
+                service = ServiceConfiguration(self._configurations, cfg.service)
+                model, origin, engine = await service.wait_for_model()
+                source = HubManifestSource(
+                    lambda: adapter.make_weight_source(
+                        origin_session, (service.get_origin() or origin).address
+                    ),
+                    updater,
+                    service.get_engine,
+                )
                 driver = adapter.make_runner_driver(session, cfg.runner, CALL_TIMEOUT_S)
                 reconciler = self._build(
                     driver, source, ctx, loads, model, origin, engine
@@ -333,37 +339,6 @@
             switching,
         )
 
-    async def _find_model(self) -> tuple[str, WeightOrigin, EngineModel]:
-        """Return the service's model, its origin and its cost model.
-
-        Wait until the configuration has them.
-        """
-        while True:
-            for cfg in self._configurations.items.values():
-                service = next(
-                    (item for item in cfg.services if item.name == self._cfg.service),
-                    None,
-                )
-                origin = next(
-                    (item.origin for item in cfg.services if item.origin), None
-                )
-                if service is None or service.engine is None or origin is None:
-                    continue
-                engine = service.engine
-                if engine.models:
-                    return engine.models[0], origin, engine
-            await asyncio.sleep(CONFIGURATION_POLL_S)
-
-    def _get_engine(self) -> EngineModel | None:
-        """Return the cost model of this service in the newest configuration."""
-        configurations = self._configurations.items.values()
-        newest = max(configurations, key=lambda item: item.version, default=None)
-        if newest is None:
-            return None
-        names = {item.name: item for item in newest.services}
-        service = names.get(self._cfg.service)
-        return None if service is None else service.engine
-
     def _get_peers(self) -> dict[str, Runner]:
         """Return the service's runners by the address of their companion."""
         _, port = split_address(self._cfg.peers)
--- a/packages/target/tests/cache_updater_tests.py
+++ b/packages/target/tests/cache_updater_tests.py
@@ -100,7 +100,7 @@
         super().setUp()
         self.engine = EngineModel(slots=1)
         self.manifests = HubManifestSource(
-            FakeSource(2), self.updater, lambda: self.engine
+            lambda: FakeSource(2), self.updater, lambda: self.engine
         )
 
     async def test_origin_is_asked_without_a_hub(self):
