Resume a runner when the link to its companion is lost

Callers would be refused for want of runners although some serve: a companion that is lost right after it reported a pause leaves its runner paused at the hub until a companion is back, for good if none comes.

Cause: a report has no end. Its load is discounted within seconds, its pause and pace were kept. Told from a silent or leaving runner by `runner_paused` and `companion_lost` without a `runner_resumed`.

The hub drops both when the link is lost, and gives the runner the next waiting request. A runner that is loading rejects it, as it does without a companion.

Test: `hub_companions_tests...test_runner_is_not_paused_after_its_companion_is_lost` failed before.

--- a/packages/entry/src/marigold/entry/hub/companions.py
+++ b/packages/entry/src/marigold/entry/hub/companions.py
@@ -94,6 +94,18 @@
         finally:
             channel.close()
             log.event("companion_lost", host=host)
+        self._drop_reports(host)
+
+    def _drop_reports(self, host: str) -> None:
+        """Resume the runners on a host: nobody reports the end of a pause any more.
+
+        One that is loading rejects requests itself.
+        """
+        for view in self._directory.get_engines_at(host):
+            if view.is_paused:
+                log.event("runner_resumed", runner=view.id, reason="companion lost")
+            view.drop_report()
+            self._on_load(view)
 
     def handle_load(self, address: str, load: RunnerLoad) -> None:
         """Apply the load report of the companion at an address."""
--- a/packages/entry/src/marigold/entry/relay/views.py
+++ b/packages/entry/src/marigold/entry/relay/views.py
@@ -199,6 +199,11 @@
         self.record_progress(now)
         self.update_load(LoadReport(load.running, load.waiting, self.runner.slots), now)
 
+    def drop_report(self) -> None:
+        """Forget what a report says for longer than the load: its pause and pace."""
+        self.is_paused = False
+        self.slowdown = 1.0
+
     def _get_load_weight(self, now: float) -> float:
         age = now - self._load_at - LOAD_FRESH_S
         return min(max(1.0 - age / (LOAD_LIFETIME_S - LOAD_FRESH_S), 0.0), 1.0)
