Read a doubted manifest of a rollout at growing intervals

A target goes on doubting a sound manifest for as long as the store sends it the same corrupt chunk, and the leader would read the manifest once a second all that time. It is read at once, and then after 1, 2, 4 and up to 60 s while it stays the same.

Test: `rollout_controller_tests...test_sound_manifest_is_read_at_increasing_intervals`.

--- a/packages/entry/src/marigold/entry/rollout/manifests.py
+++ b/packages/entry/src/marigold/entry/rollout/manifests.py
@@ -21,8 +21,10 @@
 
 RETRY_S = 0.5
 RETRY_MAXIMUM_S = 10.0
-# Minimum seconds between two reads of a manifest in doubt; many hosts may doubt it.
+# Seconds between two reads of a manifest in doubt, doubled while it stays the same; a
+# sound one is doubted as long as the store sends the same corrupt chunk.
 RECHECK_INTERVAL_S = 1.0
+RECHECK_MAXIMUM_S = 60.0
 
 
 class ManifestCache:
@@ -40,7 +42,7 @@
         self._client = client
         self._rng = rng
         self._monotonic = monotonic
-        self._read_at: dict[tuple[str, str], float] = {}
+        self._rechecks: dict[tuple[str, str], tuple[float, float]] = {}
         self._manifests: dict[tuple[str, str], Manifest] = {}
         self._tasks: dict[tuple[str, str], asyncio.Task[None]] = {}
 
@@ -56,34 +58,34 @@
         for key in self._tasks.keys() - keys:
             await cancel_tasks(self._tasks.pop(key))
             self._manifests.pop(key, None)
-            self._read_at.pop(key, None)
+            self._rechecks.pop(key, None)
 
     def recheck(self, digest: str) -> None:
         """Read the manifest with a whole digest again, unless that was just done."""
+        now = self._monotonic()
         for key, manifest in self._manifests.items():
-            is_due = (
-                self._tasks[key].done()
-                and self._monotonic() >= self._read_at[key] + RECHECK_INTERVAL_S
-            )
-            if manifest.digest == digest and is_due:
+            if manifest.digest != digest or not self._tasks[key].done():
+                continue
+            due_at, delay = self._rechecks.get(key, (now, RECHECK_INTERVAL_S))
+            if now >= due_at:
+                self._rechecks[key] = now + delay, min(2 * delay, RECHECK_MAXIMUM_S)
                 self._tasks[key] = asyncio.create_task(self._read(*key))
 
     async def _read(self, model: str, version: str) -> None:
         delay = RETRY_S
         key = (model, version)
         while True:
-            self._read_at[key] = self._monotonic()
             try:
                 manifest = await self._client.get_manifest(model, version)
             except (PlatformError, ManifestError) as exc:
                 log.event("manifest_failed", model=model, version=version, reason=exc)
             else:
-                old, self._manifests[key] = self._manifests.get(key), manifest
+                is_changed = self._manifests.get(key, manifest) != manifest
+                if is_changed:
+                    self._rechecks.pop(key, None)
+                self._manifests[key] = manifest
                 log.event(
-                    "manifest_read",
-                    model=model,
-                    version=version,
-                    changed=old is not None and old != manifest,
+                    "manifest_read", model=model, version=version, changed=is_changed
                 )
                 return
             await asyncio.sleep(delay * (0.5 + self._rng.random()))
--- a/packages/entry/tests/rollout_controller_tests.py
+++ b/packages/entry/tests/rollout_controller_tests.py
@@ -253,18 +253,22 @@
     async def test_manifest_in_doubt_is_read_again(self):
         corrupt = replace(MANIFEST, digest="c" * 64)
         cache = await self.read(corrupt, MANIFEST)
-        self.now += RECHECK_INTERVAL_S
         self.assertEqual(await self.recheck(cache, corrupt.digest), MANIFEST)
 
     async def test_doubts_of_many_hosts_cause_one_read(self):
         cache = await self.read(MANIFEST, MANIFEST, MANIFEST)
-        self.now += RECHECK_INTERVAL_S
         for _ in range(10):
             self.assertEqual(await self.recheck(cache, MANIFEST.digest), MANIFEST)
         self.assertEqual(len(self.client.manifests), 1)
 
+    async def test_sound_manifest_is_read_at_increasing_intervals(self):
+        cache = await self.read(*[MANIFEST] * 100)
+        while self.now < 70.0:
+            await self.recheck(cache, MANIFEST.digest)
+            self.now += RECHECK_INTERVAL_S
+        self.assertGreaterEqual(len(self.client.manifests), 100 - 7)
+
     async def test_doubt_of_an_earlier_manifest_causes_no_read(self):
         cache = await self.read(MANIFEST, MANIFEST)
-        self.now += RECHECK_INTERVAL_S
         await self.recheck(cache, "c" * 64)
         self.assertEqual(len(self.client.manifests), 1)
