Let companions that doubt a manifest wait for its recheck

Two cases delayed a version by a second, the next time that a companion asks. A companion that doubted a manifest while the hub was asking the origin for it again got the doubted one, as did one that doubted it within half a second of the first request.

Companions join a recheck that is under way, and the first manifest of a version may be doubted at once; after that the interval of half a second holds.

Tests: `hub_manifests_tests.DoubtedManifestTests`, one new and three that now doubt at once, failed before.

--- a/packages/entry/src/marigold/entry/hub/manifests.py
+++ b/packages/entry/src/marigold/entry/hub/manifests.py
@@ -42,15 +42,15 @@
 class _CachedAnswer:
     """Answer of the origin; `digest` is that of its manifest, empty if it denied one.
 
-    `asked_at` is the boot time in seconds of the last request.
+    `due_at` is the boot time in seconds from which on it may be requested again.
     """
 
-    __slots__ = ("answer", "asked_at", "digest")
+    __slots__ = ("answer", "digest", "due_at")
 
-    def __init__(self, answer: ManifestAnswer, digest: str, asked_at: float) -> None:
+    def __init__(self, answer: ManifestAnswer, digest: str, due_at: float) -> None:
         self.answer = answer
         self.digest = digest
-        self.asked_at = asked_at
+        self.due_at = due_at
 
 
 class ManifestProxy:
@@ -84,29 +84,24 @@
         """Answer a companion, now or when the origin has answered."""
         key = (message.model, message.version)
         cached = self._cached.get(key)
-        if cached is not None and self._is_sufficient(cached, message.doubted):
-            channel.put(cached.answer)
-            return
-        if key in self._waiting:
+        is_doubted = cached is None or cached.digest in ("", *message.doubted)
+        if is_doubted and key in self._waiting:
             self._waiting[key].append(channel)
             return
+        if cached is not None and not (is_doubted and self._clock() >= cached.due_at):
+            channel.put(cached.answer)
+            return
         self._waiting[key] = [channel]
         task = asyncio.create_task(self._fetch(key))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _is_sufficient(self, cached: _CachedAnswer, doubted: list[str]) -> bool:
-        """Return whether a cached answer is sent rather than requested again."""
-        if cached.digest and cached.digest not in doubted:
-            return True
-        return self._clock() < cached.asked_at + RECHECK_INTERVAL_S
-
     async def _fetch(self, key: tuple[str, int]) -> None:
         model, version = key
         answer = ManifestAnswer(model=model, version=version)
         cached = self._cached.get(key)
         if cached is not None:
-            cached.asked_at = self._clock()
+            cached.due_at = self._clock() + RECHECK_INTERVAL_S
         digest = ""
         outcome = "failed"
         try:
@@ -136,7 +131,10 @@
         self._outcomes.add(outcome)
         has_manifest = cached is not None and bool(cached.digest)
         if version and (answer.manifest or (answer.gone and not has_manifest)):
-            self._cached[key] = _CachedAnswer(answer, digest, self._clock())
+            # The first manifest of a version may be doubted at once.
+            is_first = cached is None and bool(digest)
+            due_at = self._clock() + (0.0 if is_first else RECHECK_INTERVAL_S)
+            self._cached[key] = _CachedAnswer(answer, digest, due_at)
             for old in list(self._cached)[:-CACHED_MANIFESTS_MAXIMUM]:
                 del self._cached[old]
         for channel in channels:
