Load a version at once that was only not served

A companion that had been denied the manifest of its runner's version would have waited up to 10 s before it loads it into a runner that crashed meanwhile, as both uses shared one time. They have times of their own now. A peer with another manifest is logged once, not with each of its announcements.

Test: `companion_tests...test_version_that_was_not_served_is_loaded_after_a_crash`.

--- a/packages/target/src/marigold/target/companion/reconciler.py
+++ b/packages/target/src/marigold/target/companion/reconciler.py
@@ -90,6 +90,7 @@
         self._switching = switching
         self._started_at = clock()
         self._denied_until: dict[int, float] = {}
+        self._unserved_until: dict[int, float] = {}
         self._is_reachable = True
         self._is_copying = True
         self._paused_for: int | None = None
@@ -183,7 +184,7 @@
 
     async def _copy_version(self, version: int) -> bool:
         """Continue the copy of a version; return whether it is complete."""
-        if self._is_denied(version):
+        if self._clock() < self._denied_until.get(version, 0.0):
             return False
         try:
             return (await self._copies.start_or_update(version)).is_complete()
@@ -193,10 +194,6 @@
             log.routine("manifest_failed", version=version, reason=exc)
         return False
 
-    def _is_denied(self, version: int) -> bool:
-        """Return whether the origin denied a version and is not to be asked yet."""
-        return self._clock() < self._denied_until.get(version, 0.0)
-
     async def _handle_denial(self, version: int, reason: Exception) -> None:
         """Give up a version that the origin denies, or ask for it again later."""
         newest = None
@@ -222,12 +219,12 @@
         A version without a manifest cannot be verified and is not served. The origin
         has manifests of the newest versions only.
         """
-        if version is None or self._is_denied(version):
+        if version is None or self._clock() < self._unserved_until.get(version, 0.0):
             return
         try:
             await self._copies.start_or_update(version)
         except WeightsNotFoundError as exc:
-            self._denied_until[version] = self._clock() + NOT_SERVED_RETRY_S
+            self._unserved_until[version] = self._clock() + NOT_SERVED_RETRY_S
             log.event("version_not_served", version=version, reason=exc)
         except (PlatformError, ManifestError) as exc:
             log.routine("manifest_failed", version=version, reason=exc)
--- a/packages/target/src/marigold/target/weights/exchange.py
+++ b/packages/target/src/marigold/target/weights/exchange.py
@@ -285,8 +285,7 @@
         """Record it if a peer uses another manifest for the version of a download."""
         manifest = download.manifest
         digest = peer.digests.get((manifest.model, manifest.version), download.digest)
-        if digest != download.digest:
-            download.evidence.record_other(digest)
+        if digest != download.digest and download.evidence.record_other(digest):
             log.event(
                 "manifests_differ",
                 peer=peer.name,
--- a/packages/target/src/marigold/target/weights/manifest_evidence.py
+++ b/packages/target/src/marigold/target/weights/manifest_evidence.py
@@ -50,7 +50,7 @@
         "_delay",
         "_found",
         "_manifest",
-        "_others",
+        "_other",
         "_rejected",
         "_repeated",
     )
@@ -59,7 +59,7 @@
         self._manifest = manifest
         self._found: dict[int, str] = {}
         self._repeated: set[int] = set()
-        self._others: set[str] = set()
+        self._other = ""
         self._rejected = ""
         self._confirmations = 0
         self._delay = FIRST_DELAY_S
@@ -68,7 +68,7 @@
     @property
     def reasons(self) -> list[str]:
         """What contradicts the manifest: ``chunks``, ``peers``, both or nothing."""
-        found = {"chunks": self._repeated, "peers": self._others}
+        found = {"chunks": self._repeated, "peers": self._other}
         return [name for name, evidence in found.items() if evidence]
 
     def record_mismatch(self, index: int, digest: str) -> None:
@@ -82,13 +82,18 @@
         self._found.pop(index, None)
         self._repeated.discard(index)
 
-    def record_other(self, digest: str) -> None:
-        """Record the digest of another manifest that a peer uses for the version."""
-        self._others = {digest}
+    def record_other(self, digest: str) -> bool:
+        """Record the digest of another manifest that a peer uses for the version.
+
+        Return whether it is new.
+        """
+        is_new = digest != self._other
+        self._other = digest
+        return is_new
 
     def should_ask(self, now: float) -> bool:
         """Return whether to ask for the manifest again."""
-        return now >= self._ask_at and bool(self._repeated or self._others)
+        return now >= self._ask_at and bool(self.reasons)
 
     def record_ask(self, now: float) -> None:
         """Record that the manifest is asked for; the next time is later."""
@@ -113,7 +118,7 @@
                 self._confirmations = 0
                 self._found.clear()
                 self._repeated.clear()
-                self._others.clear()
+                self._other = ""
             return Verdict.CONFIRMED
         self._confirmations = 0
         if answer.digest != self._rejected and self._contradicts(answer, held):
--- a/packages/target/tests/companion_tests.py
+++ b/packages/target/tests/companion_tests.py
@@ -247,15 +247,29 @@
         await self.reconcile(0.1)
         self.assertEqual(self.schedule.get_newest(), 2)
 
-    async def test_held_version_that_the_origin_denies_once_is_served_later(self):
+    async def deny_held_version(self):
+        """Let the origin deny the version that the runner holds, to load and to serve.
+
+        A companion that has just started does not know yet that its runner holds it.
+        """
         self.driver.held = [HeldModel(model="m", version=2)]
         self.schedule.add(2, 0.0)
-        self.answer(None)
+        self.answer(None, 2, 2, None)
         await self.reconcile()
         self.assertIsNone(self.copies.get(2))
+
+    async def test_held_version_that_the_origin_denies_once_is_served_later(self):
+        await self.deny_held_version()
         await self.reconcile(NOT_SERVED_RETRY_S)
         self.assertIsNotNone(self.copies.get(2))
 
+    async def test_version_that_was_not_served_is_loaded_after_a_crash(self):
+        """Guards against a load that waits for the next try to serve the version."""
+        await self.deny_held_version()
+        self.driver.held, self.driver.started_ms = [], 2
+        await self.reconcile(DENIED_RETRY_S)
+        self.assertIsNotNone(self.copies.get(2))
+
     async def test_report_is_read_while_the_origin_is_unreachable(self):
         self.driver.held = [HeldModel(model="m", version=1)]
         self.schedule.add(2, self.now)
