--- a/packages/target/src/marigold/target/companion/manifests.py
+++ b/packages/target/src/marigold/target/companion/manifests.py
@@ -25,8 +25,8 @@
     """Weight source that asks the hub for manifests while one is linked.
 
     `get_origin` returns the origin that the configuration in force names. `get_engine`
-    returns the cost model of the engines, whose chunks all manifests must
-    have. A manifest that does not fit it is named as doubted with the next request.
+    returns the cost model of the engines, whose chunks all manifests must have. A
+    manifest that does not fit it is named as doubted with the next request.
     """
 
     def __init__(
